--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,339 @@
+//! What users, workers and probes ask over HTTP.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::http::{Request, Response, ServerLimits};
+use crate::model::{Final, Job, Room, Spec, is_job_id};
+use crate::net::Listener;
+use crate::node::{Node, guard, put};
+use crate::settings::Settings;
+use crate::store::{Class, StoreError};
+use crate::view::{View, job_key};
+use crate::wire::{JobStage, JobState, Kind, Report, Submission};
+
+pub async fn serve(node: Rc<Node>, listener: Listener) {
+    let limits = ServerLimits {
+        // The rest is for the mesh, the state, the cloud and direct orders.
+        connections: node.settings.deployment.machine_limits.sockets * 4 / 5,
+        idle: node.settings.lease() * 4,
+        arrive: Duration::from_secs(5),
+    };
+    let handler = Rc::new(move |request: Request| -> crate::http::Answer {
+        let node = node.clone();
+        Box::pin(async move { route(&node, request).await })
+    });
+    crate::http::serve(listener, limits, handler).await;
+}
+
+async fn route(node: &Rc<Node>, request: Request) -> Response {
+    let method = request.method.as_str();
+    let path = request.path.as_str();
+    let allowed = |m: &str| method == m;
+    match path {
+        "/up" if allowed("GET") => up(node),
+        "/agent/beat" if allowed("POST") => match serde_json::from_slice::<Report>(&request.body) {
+            Ok(report) => node.beat(report).await,
+            Err(_) => Response::error(400, "not a report"),
+        },
+        "/submissions" if allowed("POST") => submit(node, &request.body).await,
+        "/up" | "/agent/beat" | "/submissions" => Response::error(405, "method not allowed"),
+        _ => match path.strip_prefix("/submissions/") {
+            Some(rest) => match rest.strip_suffix("/withdraw") {
+                Some(id) if allowed("POST") => withdraw(node, id).await,
+                None if allowed("GET") => poll(node, rest).await,
+                _ => Response::error(405, "method not allowed"),
+            },
+            None => Response::error(404, "no such path"),
+        },
+    }
+}
+
+/// Healthy means able to take requests. When no controller reaches the state
+/// service, leaving the balancer would only delay the return: all stay, and
+/// requests are answered with when to come back.
+fn up(node: &Node) -> Response {
+    let alone = node
+        .peers
+        .borrow()
+        .state_serves_another(node, Instant::now());
+    let loaded = node.view.borrow().loaded && node.horizon.get().is_some();
+    if loaded && (node.has_state() || !alone) {
+        Response::empty(200)
+    } else {
+        Response::unavailable("no contact with the state service", 1)
+    }
+}
+
+/// How long a request may wait for the state service: users wait 5 s for a
+/// submission and 2 s for a poll.
+const ACCEPT_WAIT: Duration = Duration::from_millis(3500);
+const POLL_WAIT: Duration = Duration::from_millis(1500);
+
+fn busy() -> Response {
+    Response::unavailable("the state service does not answer", 1)
+}
+
+/// Why a submission is refused for good.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// 400
+    Malformed(String),
+    /// 422
+    Never(String),
+    /// 503: not decidable yet.
+    Unknown,
+}
+
+fn malformed(s: impl Into<String>) -> Refusal {
+    Refusal::Malformed(s.into())
+}
+
+/// Reads and checks the form of a submission; 400 on failure.
+pub fn read_submission(body: &[u8]) -> Result<Submission, Refusal> {
+    let value: serde_json::Value =
+        serde_json::from_slice(body).map_err(|e| malformed(format!("not JSON: {e}")))?;
+    if !value.is_object() {
+        return Err(malformed("not an object"));
+    }
+    let s: Submission =
+        serde_json::from_value(value).map_err(|e| malformed(format!("field: {e}")))?;
+    if !is_job_id(&s.id) {
+        return Err(malformed("name_id: not of the form job-000412"));
+    }
+    if !(1..=100_000).contains(&s.tasks) {
+        return Err(malformed("boards: must be 1 to 100000"));
+    }
+    let amount = |field: &str, x: f64, positive: bool| {
+        let least = if positive { f64::MIN_POSITIVE } else { 0.0 };
+        if x.is_finite() && x >= least && x <= 1e9 {
+            Ok(())
+        } else {
+            Err(malformed(format!("{field}: out of range")))
+        }
+    };
+    amount("vcpus", s.cpus, false)?;
+    amount("cards", s.gpus, false)?;
+    amount("ram_gb", s.memory_gb, false)?;
+    amount("pull_gb", s.image_gb, false)?;
+    amount("expect_s", s.estimate_s, false)?;
+    amount("notch_s", s.checkpoint_s, false)?;
+    amount("stow_s", s.save_s, false)?;
+    if let Some(d) = s.deadline_s {
+        amount("due_s", d, false)?;
+    }
+    for (field, text) in [
+        ("lot", &s.class),
+        ("crew", &s.team),
+        ("blueprint", &s.image),
+    ] {
+        if text.len() > 200 {
+            return Err(malformed(format!("{field}: too long")));
+        }
+    }
+    if s.types
+        .as_ref()
+        .is_some_and(|t| t.len() > 64 || t.iter().any(|x| x.len() > 200))
+    {
+        return Err(malformed("grades: too many or too long"));
+    }
+    if s.zone.as_ref().is_some_and(|z| z.len() > 200) {
+        return Err(malformed("yard: too long"));
+    }
+    Ok(s)
+}
+
+/// Whether the job can ever run; 422 if not, 503 if that is not known yet.
+pub fn check_submission(s: &Submission, settings: &Settings, view: &View) -> Result<Spec, Refusal> {
+    let spec = Spec::from(s);
+    let Some(team) = settings.team(&s.team) else {
+        return Err(Refusal::Never("crew: unknown team".into()));
+    };
+    if view.types.value.types.is_empty() {
+        return Err(Refusal::Unknown);
+    }
+    let zones = &settings.deployment.zones;
+    if s.zone.as_ref().is_some_and(|z| !zones.contains(z)) {
+        return Err(Refusal::Never("yard: unknown zone".into()));
+    }
+    let fits = view.types.value.types.iter().any(|t| {
+        spec.allows_type(&t.name)
+            && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+            && Room::of_type(t).fits(&spec.need)
+    });
+    if !fits {
+        return Err(Refusal::Never("a task fits no allowed machine type".into()));
+    }
+    let at_once = match s.kind {
+        Kind::Array => 1,
+        _ => s.tasks as usize,
+    };
+    if !team.allows(&spec.need.times(at_once)) {
+        return Err(Refusal::Never("needs more than the team's limit".into()));
+    }
+    if serde_json::to_vec(&spec).map_or(0, |v| v.len()) > settings.value_bytes() / 4 {
+        return Err(Refusal::Malformed("too long".into()));
+    }
+    Ok(spec)
+}
+
+async fn submit(node: &Rc<Node>, body: &[u8]) -> Response {
+    let submission = match read_submission(body) {
+        Ok(s) => s,
+        Err(Refusal::Malformed(problem)) => return Response::error(400, &problem),
+        Err(_) => return busy(),
+    };
+    let id = submission.id.clone();
+    // A known job gets its state, whatever the repeated body says.
+    if node.view.borrow().jobs.contains_key(&id) {
+        return poll_within(node, &id, ACCEPT_WAIT).await;
+    }
+    if !node.view.borrow().loaded {
+        return busy();
+    }
+    let checked = check_submission(&submission, &node.settings, &node.view.borrow());
+    let spec = match checked {
+        Ok(spec) => spec,
+        Err(Refusal::Unknown) => return Response::unavailable("machine types not known yet", 1),
+        Err(refusal) => {
+            // The view may lag behind the acceptance of this very id, by a
+            // controller that knew other machine types: be sure before a no.
+            if !node.barrier(ACCEPT_WAIT).await {
+                return busy();
+            }
+            if node.view.borrow().jobs.contains_key(&id) {
+                return poll_within(node, &id, POLL_WAIT).await;
+            }
+            return match refusal {
+                Refusal::Never(problem) => Response::error(422, &problem),
+                Refusal::Malformed(problem) => Response::error(400, &problem),
+                Refusal::Unknown => busy(),
+            };
+        }
+    };
+    let born = node.view.borrow().revision;
+    let job = Job::new(spec, born);
+    let began = Instant::now();
+    loop {
+        // Safety 1: accepted means committed. The guard makes a repeat, here
+        // or on another controller, find the first one.
+        let guards = vec![guard(job_key(&id), 0)];
+        let writes = vec![put(job_key(&id), &job)];
+        let left = ACCEPT_WAIT.saturating_sub(began.elapsed());
+        let commit = node.commit(Class::Accept, guards, writes);
+        match tokio::time::timeout(left, commit).await {
+            Ok(Ok(_)) => {
+                tracing::debug!(job = id, "accepted");
+                let state = JobState {
+                    id: &id,
+                    stage: JobStage::Queued,
+                    done: None,
+                    running: None,
+                };
+                return Response::json(201, &state);
+            }
+            Ok(Err(StoreError::Conflict(_))) => {
+                let left = ACCEPT_WAIT.saturating_sub(began.elapsed());
+                return poll_within(node, &id, left.max(POLL_WAIT)).await;
+            }
+            Ok(Err(_)) if began.elapsed() < ACCEPT_WAIT / 2 => {
+                tokio::time::sleep(node.store.jitter(node.request_gap() * 4)).await;
+            }
+            _ => return busy(),
+        }
+    }
+}
+
+pub fn state_of<'a>(id: &'a str, job: &Job) -> JobState<'a> {
+    let running = job.booked() as u32;
+    let stage = match job.fin {
+        Final::Done => JobStage::Done,
+        Final::Cancelled => JobStage::Cancelled,
+        Final::Open if running > 0 => JobStage::Running,
+        Final::Open => JobStage::Queued,
+    };
+    JobState {
+        id,
+        stage,
+        done: Some(job.done_count()),
+        running: Some(if job.is_open() { running } else { 0 }),
+    }
+}
+
+async fn poll(node: &Node, id: &str) -> Response {
+    poll_within(node, id, POLL_WAIT).await
+}
+
+async fn poll_within(node: &Node, id: &str, limit: Duration) -> Response {
+    if !is_job_id(id) {
+        return Response::error(404, "no such job");
+    }
+    let known = |node: &Node| {
+        let view = node.view.borrow();
+        view.jobs.get(id).map(|e| {
+            (
+                e.value.is_open(),
+                Response::json(200, &state_of(id, &e.value)),
+            )
+        })
+    };
+    // A final state never changes: it needs no barrier.
+    if let Some((false, response)) = known(node) {
+        return response;
+    }
+    // Safety 1: anything else must not be older than what another controller
+    // has told; 404 included.
+    if !node.barrier(limit).await {
+        return busy();
+    }
+    match known(node) {
+        Some((_, response)) => response,
+        None => Response::error(404, "no such job"),
+    }
+}
+
+async fn withdraw(node: &Rc<Node>, id: &str) -> Response {
+    if !is_job_id(id) {
+        return Response::error(404, "no such job");
+    }
+    let began = Instant::now();
+    let mut fresh = false;
+    while began.elapsed() < ACCEPT_WAIT {
+        let entry = node.view.borrow().jobs.get(id).cloned();
+        match entry {
+            Some(e) if !e.value.is_open() => {
+                return Response::json(200, &state_of(id, &e.value));
+            }
+            Some(e) => {
+                let mut job = e.value.clone();
+                job.cancel();
+                let guards = vec![guard(job_key(id), e.version)];
+                let writes = vec![put(job_key(id), &job)];
+                match node.commit(Class::Accept, guards, writes).await {
+                    Ok(_) => {
+                        tracing::debug!(job = id, "cancelled");
+                        return Response::json(200, &state_of(id, &job));
+                    }
+                    Err(StoreError::Conflict(_)) => {}
+                    Err(_) => {
+                        tokio::time::sleep(node.store.jitter(node.request_gap() * 4)).await;
+                    }
+                }
+                // It changed meanwhile, or may have: look again.
+                if !node.barrier(POLL_WAIT).await {
+                    return busy();
+                }
+            }
+            None if fresh => return Response::error(404, "no such job"),
+            None => {
+                if !node.barrier(POLL_WAIT).await {
+                    return busy();
+                }
+                fresh = true;
+            }
+        }
+    }
+    busy()
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,802 @@
+//! The rented machines: who rents, what is rented, what goes back.
+//!
+//! One controller at a time rents, the one whose name stands under `fleet`,
+//! tied to a state lease. That alone makes nothing safe, and need not: every
+//! rental is committed before the call under a name that is never used again,
+//! and whatever turns up unexpectedly is used or returned.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::{Instant, sleep};
+
+use crate::admission::{self, Hints, Plan};
+use crate::http::Response;
+use crate::model::{Hire, Life, Machine, Renter, Room, Slot, Spec, Types};
+use crate::node::{Node, guard, put};
+use crate::store::{Class, StoreError};
+use crate::view::{FLEET_KEY, TYPES_KEY, View, hire_key, job_key, machine_key, zone_key};
+use crate::wire::{
+    Guard, Kind, ListedStage, MachineList, MachineNames, MachineType, MachineTypes, RentRequest,
+    Report, Write,
+};
+
+/// A kind of offer: type, zone, spot.
+type Offer = (String, String, bool);
+
+#[derive(Default)]
+pub struct FleetState {
+    /// The last report of a worker that asked to be claimed, without tasks:
+    /// its address and its kind.
+    pub reports: HashMap<String, Report>,
+    /// Machines with a notice that are not draining yet.
+    pub recalled: HashSet<String>,
+    /// Offers that were refused, and how often in a row.
+    refused: HashMap<Offer, (Instant, u32)>,
+    empty_since: HashMap<String, Instant>,
+    first_seen: HashMap<String, Instant>,
+    /// Machines confirmed gone: a late list may still name them.
+    gone: HashMap<String, Instant>,
+    lease: Option<u64>,
+    extended: Option<Instant>,
+    listed_at: Option<Instant>,
+    types_at: Option<Instant>,
+    /// The cloud is left alone until then.
+    cloud_pause: Option<Instant>,
+}
+
+impl FleetState {
+    pub fn remember(&mut self, report: &Report) {
+        let mut kept = report.clone();
+        kept.tasks = Vec::new();
+        self.reports.insert(report.machine.clone(), kept);
+    }
+
+    /// Offers that the cloud has refused of late, for the report.
+    pub fn refused_now(&self, now: Instant) -> Vec<String> {
+        let mut all: Vec<String> = self
+            .refused
+            .iter()
+            .filter(|(_, (until, _))| *until > now)
+            .map(|((kind, zone, spot), _)| {
+                format!("{kind} in {zone}{}", if *spot { " (spot)" } else { "" })
+            })
+            .collect();
+        all.sort();
+        all
+    }
+}
+
+impl Node {
+    pub fn is_renter(&self) -> bool {
+        self.view
+            .borrow()
+            .fleet
+            .as_ref()
+            .is_some_and(|f| f.value.incarnation == self.incarnation)
+            && self.fleet.borrow().lease.is_some()
+    }
+
+    async fn cloud(&self, method: &str, path: &str, body: Option<Vec<u8>>) -> Option<Response> {
+        let pause = self.fleet.borrow().cloud_pause;
+        if pause.is_some_and(|t| t > Instant::now()) {
+            return None;
+        }
+        let limit = self.settings.lease() / 3;
+        let answer = self
+            .client
+            .call(self.settings.external.cloud, method, path, body, limit)
+            .await;
+        // The renter alone calls, one call after another, inside the limit.
+        let gap = Duration::from_secs_f64(1.2 / self.settings.deployment.cloud.rps);
+        sleep(gap).await;
+        match answer {
+            Ok(r) if r.status == 429 || (r.status >= 500 && !is_no_capacity(&r)) => {
+                tracing::debug!(status = r.status, path, "cloud refuses");
+                let pause = self.store.jitter(Duration::from_secs(1));
+                self.fleet.borrow_mut().cloud_pause = Some(Instant::now() + pause);
+                None
+            }
+            Ok(r) => Some(r),
+            Err(error) => {
+                tracing::debug!(%error, path, "cloud does not answer");
+                None
+            }
+        }
+    }
+}
+
+fn is_no_capacity(r: &Response) -> bool {
+    String::from_utf8_lossy(&r.body).contains("no capacity")
+}
+
+/// Keeps the lease under which this controller rents, or waits for it.
+async fn keep_lease(node: &Node) -> Result<(), StoreError> {
+    let ttl = node.settings.lease() / 3;
+    let held = node.fleet.borrow().lease;
+    match held {
+        Some(lease) => {
+            let due = node
+                .fleet
+                .borrow()
+                .extended
+                .is_none_or(|t| t.elapsed() > ttl / 3);
+            if due {
+                match node.store.extend(lease).await {
+                    Ok(()) => node.fleet.borrow_mut().extended = Some(Instant::now()),
+                    Err(StoreError::NoLease) => {
+                        tracing::info!("no longer the renter");
+                        node.fleet.borrow_mut().lease = None;
+                    }
+                    Err(e) => return Err(e),
+                }
+            }
+            let lost = node
+                .view
+                .borrow()
+                .fleet
+                .as_ref()
+                .is_some_and(|f| f.value.incarnation != node.incarnation);
+            if lost {
+                node.fleet.borrow_mut().lease = None;
+            }
+        }
+        None if node.view.borrow().fleet.is_none() => {
+            let lease = node.store.hold(ttl).await?;
+            let renter = Renter {
+                node: node.name().to_string(),
+                incarnation: node.incarnation,
+            };
+            let write = Write::Put {
+                key: FLEET_KEY.to_string(),
+                value: serde_json::to_value(&renter).unwrap_or_default(),
+                lease: Some(lease),
+            };
+            let guards = vec![guard(FLEET_KEY.to_string(), 0)];
+            node.commit(Class::Lease, guards, vec![write]).await?;
+            tracing::info!("renting from now on");
+            let mut fleet = node.fleet.borrow_mut();
+            fleet.lease = Some(lease);
+            fleet.extended = Some(Instant::now());
+        }
+        None => {}
+    }
+    Ok(())
+}
+
+/// The renter reads the machine types and keeps them in the state, where
+/// every controller, a newly started one too, finds them.
+pub async fn keep_types(node: Rc<Node>) {
+    loop {
+        sleep(node.settings.report() / 3).await;
+        if !node.is_renter() {
+            continue;
+        }
+        let fresh = Duration::from_secs_f64(node.settings.deployment.cloud.list_lag_s) * 3;
+        let due = node
+            .fleet
+            .borrow()
+            .types_at
+            .is_none_or(|t| t.elapsed() > fresh);
+        if !due {
+            continue;
+        }
+        let Some(r) = node.cloud("GET", "/flavors", None).await else {
+            continue;
+        };
+        let Ok(MachineTypes { types }) = r.parse::<MachineTypes>() else {
+            continue;
+        };
+        node.fleet.borrow_mut().types_at = Some(Instant::now());
+        let types = Types { types };
+        let known = node.view.borrow().types.clone();
+        if known.value != types {
+            let guards = vec![guard(TYPES_KEY.to_string(), known.version)];
+            let writes = vec![put(TYPES_KEY.to_string(), &types)];
+            if let Err(error) = node.commit(Class::Room, guards, writes).await {
+                tracing::debug!(%error, "types not recorded");
+                node.fleet.borrow_mut().types_at = None;
+            }
+        }
+    }
+}
+
+pub async fn keep_fleet(node: Rc<Node>) {
+    loop {
+        let tick = node.settings.report().min(node.settings.lease() / 8) / 2;
+        sleep(node.store.jitter(tick)).await;
+        if !node.view.borrow().loaded {
+            continue;
+        }
+        if let Err(error) = keep_lease(&node).await {
+            tracing::debug!(%error, "renter's lease");
+            continue;
+        }
+        drain_recalled(&node).await;
+        if !node.is_renter() || !node.has_state() {
+            continue;
+        }
+        tend(&node).await;
+    }
+}
+
+/// Writes a machine's new life, taking it out of its zone's record unless it
+/// stays active. Guarded by both, so that no booking slips in between.
+async fn set_life(node: &Node, id: &str, life: Life) -> bool {
+    let (guards, writes) = {
+        let view = node.view.borrow();
+        let Some(entry) = view.machines.get(id) else {
+            return false;
+        };
+        let mut machine = entry.value.clone();
+        // Safety 5: returning is never undone.
+        let onward = match machine.life {
+            Life::Gone => false,
+            Life::Returning => life == Life::Gone,
+            _ => machine.life != life,
+        };
+        if !onward {
+            return false;
+        }
+        machine.life = life;
+        let mut guards = vec![guard(machine_key(id), entry.version)];
+        let mut writes = vec![put(machine_key(id), &machine)];
+        if life != Life::Active
+            && let Some(zone) = view.zones.get(&machine.zone)
+        {
+            let mut record = zone.value.clone();
+            // The zone is guarded even if the machine is not in its record:
+            // a claim could be putting it there just now.
+            guards.push(guard(zone_key(&machine.zone), zone.version));
+            if record.machines.remove(id).is_some() {
+                writes.push(put(zone_key(&machine.zone), &record));
+            }
+        }
+        (guards, writes)
+    };
+    match node.commit(Class::Claim, guards, writes).await {
+        Ok(_) => true,
+        Err(error) => {
+            tracing::debug!(machine = id, %error, "life not changed");
+            false
+        }
+    }
+}
+
+/// Machines with a spot notice take no new work, and gangs that can save are
+/// told to while there is time.
+async fn drain_recalled(node: &Node) {
+    let ids: Vec<String> = node.fleet.borrow_mut().recalled.drain().collect();
+    for id in ids {
+        let life = node.view.borrow().machines.get(&id).map(|m| m.value.life);
+        if life == Some(Life::Active) && node.holds(&id) {
+            tracing::info!(machine = id, "is being taken back: draining");
+            if !set_life(node, &id, Life::Draining).await {
+                node.fleet.borrow_mut().recalled.insert(id.clone());
+                continue;
+            }
+        }
+        let (guards, writes) = stops_for_drain(node, &id);
+        if !writes.is_empty()
+            && let Err(error) = node.commit(Class::Claim, guards, writes).await
+        {
+            tracing::debug!(machine = id, %error, "drain not committed");
+        }
+    }
+}
+
+fn stops_for_drain(node: &Node, machine: &str) -> (Vec<Guard>, Vec<Write>) {
+    let view = node.view.borrow();
+    let ops = node.settings.deployment.state.txn_ops;
+    let mut guards = Vec::new();
+    let mut writes = Vec::new();
+    for (id, entry) in view.jobs_on(machine) {
+        let saves = entry
+            .value
+            .spec
+            .as_ref()
+            .is_some_and(|s| s.checkpoint_s > 0.0 || s.kind == Kind::Service);
+        let told = entry
+            .value
+            .runs
+            .iter()
+            .all(|r| r.machine != machine || r.stop);
+        if !saves || told || !entry.value.is_open() || writes.len() == ops {
+            continue;
+        }
+        let mut job = entry.value.clone();
+        let gang = job.spec.as_ref().is_some_and(Spec::is_gang);
+        for run in &mut job.runs {
+            if gang || run.machine == machine {
+                run.stop = true;
+            }
+        }
+        guards.push(guard(job_key(id), entry.version));
+        writes.push(put(job_key(id), &job));
+    }
+    (guards, writes)
+}
+
+/// One pass over the fleet.
+async fn tend(node: &Node) {
+    finish_returns(node).await;
+    read_list(node).await;
+    for (id, life, why) in judge(node) {
+        tracing::info!(machine = id, ?life, why, "leaves service");
+        set_life(node, &id, life).await;
+    }
+    resolve_hires(node).await;
+    if let Some((hire, offer)) = demand(node) {
+        let id = format!(
+            "{}-{:x}",
+            node.name(),
+            node.rng.borrow_mut().random::<u64>()
+        );
+        tracing::info!(
+            kind = offer.0,
+            zone = offer.1,
+            spot = offer.2,
+            count = hire.count,
+            "renting"
+        );
+        // Safety 5: the intent comes before the call, under a unique name.
+        let guards = vec![guard(hire_key(&id), 0)];
+        let writes = vec![put(hire_key(&id), &hire)];
+        match node.commit(Class::Claim, guards, writes).await {
+            Ok(_) => resolve_hires(node).await,
+            Err(error) => tracing::debug!(%error, "rental not recorded"),
+        }
+    }
+}
+
+/// Calls the cloud for every recorded rental until it has answered: repeating
+/// a request by its name rents nothing twice.
+async fn resolve_hires(node: &Node) {
+    let hires: Vec<(String, u64, Hire)> = node
+        .view
+        .borrow()
+        .hires
+        .iter()
+        .map(|(id, e)| (id.clone(), e.version, e.value.clone()))
+        .collect();
+    for (id, version, hire) in hires {
+        let request = RentRequest {
+            request: &id,
+            kind: &hire.kind,
+            zone: &hire.zone,
+            spot: hire.spot,
+            count: hire.count,
+        };
+        let Ok(body) = serde_json::to_vec(&request) else {
+            continue;
+        };
+        let Some(r) = node.cloud("POST", "/rentals", Some(body)).await else {
+            return;
+        };
+        let mut guards = vec![guard(hire_key(&id), version)];
+        let mut writes = vec![Write::Delete { key: hire_key(&id) }];
+        let mut short = true;
+        if r.status == 200
+            && let Ok(names) = r.parse::<MachineNames>()
+        {
+            short = (names.machines.len() as u32) < hire.count;
+            let view = node.view.borrow();
+            for machine in names.machines {
+                if view.machines.contains_key(&machine) {
+                    // Its worker was quicker than the answer.
+                    continue;
+                }
+                let record = Machine {
+                    holder: String::new(),
+                    incarnation: 0,
+                    token: 0,
+                    life: Life::Booting,
+                    kind: hire.kind.clone(),
+                    zone: hire.zone.clone(),
+                    spot: hire.spot,
+                };
+                guards.push(guard(machine_key(&machine), 0));
+                writes.push(put(machine_key(&machine), &record));
+            }
+        } else {
+            tracing::info!(
+                kind = hire.kind,
+                zone = hire.zone,
+                spot = hire.spot,
+                status = r.status,
+                "no capacity"
+            );
+        }
+        let offer = (hire.kind.clone(), hire.zone.clone(), hire.spot);
+        {
+            let mut fleet = node.fleet.borrow_mut();
+            if short {
+                // As often refused, as much longer left alone.
+                let base = Duration::from_secs_f64(node.settings.deployment.cloud.list_lag_s);
+                let count = fleet.refused.get(&offer).map_or(0, |r| r.1);
+                let pause = base * 2u32.pow(count.min(2));
+                fleet
+                    .refused
+                    .insert(offer, (Instant::now() + pause, count + 1));
+            } else {
+                fleet.refused.remove(&offer);
+            }
+        }
+        // At most txn_ops machines are asked for at once, see `demand`.
+        if let Err(error) = node.commit(Class::Claim, guards, writes).await {
+            // The next pass asks the cloud again and gets the same names.
+            tracing::debug!(%error, "rental not settled");
+        }
+    }
+}
+
+/// Returns what is to go, and drops the records of what is gone.
+async fn finish_returns(node: &Node) {
+    let (returning, gone): (Vec<String>, Vec<(String, u64)>) = {
+        let view = node.view.borrow();
+        let returning = view
+            .machines
+            .iter()
+            .filter(|(_, m)| m.value.life == Life::Returning)
+            .map(|(id, _)| id.clone())
+            .take(100)
+            .collect();
+        let gone = view
+            .machines
+            .iter()
+            .filter(|(id, m)| m.value.life == Life::Gone && !view.bookings.contains_key(*id))
+            .map(|(id, m)| (id.clone(), m.version))
+            .take(node.settings.deployment.state.txn_ops)
+            .collect();
+        (returning, gone)
+    };
+    if !returning.is_empty() {
+        let names = MachineNames {
+            machines: returning.clone(),
+        };
+        if let Ok(body) = serde_json::to_vec(&names)
+            && let Some(r) = node.cloud("POST", "/rentals/return", Some(body)).await
+            && r.status == 200
+        {
+            for id in returning {
+                set_life(node, &id, Life::Gone).await;
+                let mut fleet = node.fleet.borrow_mut();
+                fleet.gone.insert(id.clone(), Instant::now());
+                fleet.reports.remove(&id);
+                fleet.empty_since.remove(&id);
+                fleet.first_seen.remove(&id);
+            }
+        }
+    }
+    if !gone.is_empty() {
+        let guards = gone
+            .iter()
+            .map(|(id, v)| guard(machine_key(id), *v))
+            .collect();
+        let writes = gone
+            .iter()
+            .map(|(id, _)| Write::Delete {
+                key: machine_key(id),
+            })
+            .collect();
+        if let Err(error) = node.commit(Class::Room, guards, writes).await {
+            tracing::debug!(%error, "records of gone machines stay");
+        }
+    }
+}
+
+/// Reads the cloud's list: adopts what nobody knows, gives up what failed.
+async fn read_list(node: &Node) {
+    let lag = Duration::from_secs_f64(node.settings.deployment.cloud.list_lag_s);
+    let due = node
+        .fleet
+        .borrow()
+        .listed_at
+        .is_none_or(|t| t.elapsed() > lag);
+    if !due {
+        return;
+    }
+    let mut all = Vec::new();
+    let mut after = String::new();
+    loop {
+        let path = format!("/rentals?after={after}&limit=500");
+        let Some(r) = node.cloud("GET", &path, None).await else {
+            return;
+        };
+        let Ok(list) = r.parse::<MachineList>() else {
+            return;
+        };
+        let Some(last) = list.machines.last() else {
+            break;
+        };
+        after = last.id.clone();
+        let more = list.more;
+        all.extend(list.machines);
+        if !more {
+            break;
+        }
+    }
+    node.fleet.borrow_mut().listed_at = Some(Instant::now());
+    let ops = node.settings.deployment.state.txn_ops;
+    let mut guards = Vec::new();
+    let mut writes = Vec::new();
+    let mut failed = Vec::new();
+    {
+        let view = node.view.borrow();
+        let mut fleet = node.fleet.borrow_mut();
+        fleet.gone.retain(|_, t| t.elapsed() < lag * 6);
+        for m in &all {
+            match view.machines.get(&m.id) {
+                Some(known) => {
+                    if m.stage == ListedStage::Failed && known.value.life != Life::Gone {
+                        failed.push(m.id.clone());
+                    }
+                }
+                None if fleet.gone.contains_key(&m.id) || writes.len() == ops => {}
+                None => {
+                    let record = Machine {
+                        holder: String::new(),
+                        incarnation: 0,
+                        token: 0,
+                        life: Life::Booting,
+                        kind: m.kind.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                    };
+                    tracing::info!(machine = m.id, "found in the cloud's list");
+                    guards.push(guard(machine_key(&m.id), 0));
+                    writes.push(put(machine_key(&m.id), &record));
+                }
+            }
+        }
+    }
+    if !writes.is_empty()
+        && let Err(error) = node.commit(Class::Claim, guards, writes).await
+    {
+        tracing::debug!(%error, "listed machines not adopted");
+    }
+    for id in failed {
+        set_life(node, &id, Life::Returning).await;
+    }
+}
+
+/// Which machines should leave, and why.
+fn judge(node: &Node) -> Vec<(String, Life, &'static str)> {
+    let now = Instant::now();
+    let view = node.view.borrow();
+    let hands = node.hands.borrow();
+    let peers = node.peers.borrow();
+    let mut fleet = node.fleet.borrow_mut();
+    let lease = node.settings.lease();
+    let mut leaving = Vec::new();
+    // Room that nobody waits for may go; while jobs wait for room it stays.
+    for (id, entry) in &view.machines {
+        let m = &entry.value;
+        let first = *fleet.first_seen.entry(id.clone()).or_insert(now);
+        let boot = view.type_of(&m.kind).map_or(60.0, |t| t.boot_s.max(10.0));
+        match m.life {
+            Life::Booting => {
+                if now - first > Duration::from_secs_f64(boot * 4.0) {
+                    leaving.push((id.clone(), Life::Returning, "never came up"));
+                }
+            }
+            Life::Active | Life::Draining => {
+                let heard = peers
+                    .heard(node, id, now)
+                    .or_else(|| hands.get(id).map(|h| h.heard))
+                    .unwrap_or(first)
+                    .max(node.started);
+                let silent = now.saturating_duration_since(heard);
+                let holder_alive =
+                    m.holder == node.name() || peers.alive(node, now).contains(&m.holder.as_str());
+                let limit = if holder_alive { lease } else { lease * 2 };
+                if silent > limit {
+                    leaving.push((id.clone(), Life::Returning, "silent"));
+                    continue;
+                }
+                let sick = hands.get(id).is_some_and(|h| h.failed_jobs.len() >= 2);
+                if sick && m.life == Life::Active {
+                    leaving.push((
+                        id.clone(),
+                        Life::Draining,
+                        "fails the tasks of several jobs",
+                    ));
+                    continue;
+                }
+                if view.bookings.contains_key(id) {
+                    fleet.empty_since.remove(id);
+                    continue;
+                }
+                let since = *fleet.empty_since.entry(id.clone()).or_insert(now);
+                let idle = now.saturating_duration_since(since);
+                if m.life == Life::Draining {
+                    leaving.push((id.clone(), Life::Returning, "drained"));
+                } else if idle > Duration::from_secs_f64(boot) {
+                    leaving.push((id.clone(), Life::Returning, "idle"));
+                }
+            }
+            Life::Returning | Life::Gone => {}
+        }
+    }
+    let known: HashSet<&String> = view.machines.keys().collect();
+    fleet.first_seen.retain(|id, _| known.contains(id));
+    fleet.empty_since.retain(|id, _| known.contains(id));
+    leaving
+}
+
+/// Room that is on its way: booting machines and recorded rentals.
+fn add_coming(plan: &mut Plan, view: &View) {
+    let mut add = |id: String, kind: &str, zone: &str, spot: bool| {
+        if let Some(t) = view.type_of(kind) {
+            let slot = Slot {
+                kind: kind.to_string(),
+                spot,
+                free: Room::of_type(t),
+            };
+            plan.zones
+                .entry(zone.to_string())
+                .or_default()
+                .machines
+                .insert(id, slot);
+        }
+    };
+    for (id, e) in &view.machines {
+        if e.value.life == Life::Booting {
+            add(id.clone(), &e.value.kind, &e.value.zone, e.value.spot);
+        }
+    }
+    for (id, e) in &view.hires {
+        for n in 0..e.value.count {
+            add(
+                format!("{id}/{n}"),
+                &e.value.kind,
+                &e.value.zone,
+                e.value.spot,
+            );
+        }
+    }
+}
+
+/// What to rent next, if anything: the first job in the queue whose tasks fit
+/// neither the free room nor what is coming decides.
+fn demand(node: &Node) -> Option<(Hire, Offer)> {
+    let settings = &node.settings;
+    let view = node.view.borrow();
+    if view.types.value.types.is_empty() {
+        return None;
+    }
+    let mut plan = Plan::of(&view);
+    add_coming(&mut plan, &view);
+    let hints = Hints { view: &view };
+    let mut queue: Vec<(admission::Rank, &String)> = view
+        .open
+        .iter()
+        .filter_map(|(_, id)| {
+            let job = &view.jobs.get(id)?.value;
+            let spec = job.spec.as_ref()?;
+            (job.waiting() > 0).then(|| (admission::queue_rank(job, spec, &plan, settings), id))
+        })
+        .collect();
+    queue.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
+    // The seconds of work that running independent tasks leave room for soon.
+    let mut turnover = running_cpus(&view);
+    for (_, id) in queue {
+        let job = &view.jobs.get(id)?.value;
+        let spec = job.spec.as_ref()?;
+        let mut left = job.waiting();
+        if let Ok(places) = admission::fit(job, spec, &plan, &hints, settings) {
+            left -= places.len().min(left);
+            for p in &places {
+                plan.take(&p.zone, &p.machine, &spec.team, spec.need);
+            }
+        }
+        if let Some(terms) = settings.team(&spec.team) {
+            let slots = admission::team_slots(terms, &plan.used(&spec.team), &spec.need);
+            left = left.min(slots);
+        }
+        if left == 0 {
+            continue;
+        }
+        let mut wanted = left as f64;
+        if spec.kind == Kind::Array {
+            // Tasks that run one after another in the window need less room
+            // at once; what others free in that time serves too.
+            let window = 60f64.max(spec.estimate_s);
+            let cpus = spec.need.cpus.units().max(0.001);
+            wanted = wanted * spec.estimate_s.max(1.0) / window;
+            let covered = wanted.min(turnover / cpus);
+            turnover -= covered * cpus;
+            wanted -= covered;
+            if wanted < 0.5 {
+                continue;
+            }
+        }
+        let wanted = wanted.ceil().max(1.0) as usize;
+        if let Some(found) = best_offer(node, &view, spec, wanted) {
+            return Some(found);
+        }
+    }
+    None
+}
+
+fn running_cpus(view: &View) -> f64 {
+    let mut cpus = 0.0;
+    for (_, id) in &view.open {
+        if let Some(job) = view.jobs.get(id).map(|e| &e.value)
+            && let Some(spec) = &job.spec
+            && spec.kind == Kind::Array
+        {
+            cpus += spec.need.cpus.units() * job.booked() as f64;
+        }
+    }
+    cpus * 0.5
+}
+
+fn best_offer(node: &Node, view: &View, spec: &Spec, wanted: usize) -> Option<(Hire, Offer)> {
+    let now = Instant::now();
+    let fleet = node.fleet.borrow();
+    let mut best: Option<(f64, Offer, usize)> = None;
+    for t in &view.types.value.types {
+        let slots = Room::of_type(t).slots(&spec.need);
+        if slots == 0 || !spec.allows_type(&t.name) {
+            continue;
+        }
+        for zone in &t.zones {
+            for spot in [true, false] {
+                if !spec.allows(&t.name, zone, spot) {
+                    continue;
+                }
+                let offer = (t.name.clone(), zone.clone(), spot);
+                if fleet
+                    .refused
+                    .get(&offer)
+                    .is_some_and(|(until, _)| *until > now)
+                {
+                    continue;
+                }
+                let price = cost(t, spot) / slots.min(wanted) as f64;
+                if best.as_ref().is_none_or(|(p, _, _)| price < *p) {
+                    best = Some((price, offer, slots));
+                }
+            }
+        }
+    }
+    let (_, offer, slots) = best?;
+    let most = node
+        .settings
+        .deployment
+        .state
+        .txn_ops
+        .saturating_sub(2)
+        .clamp(1, 50);
+    let count = wanted.div_ceil(slots).clamp(1, most) as u32;
+    let hire = Hire {
+        kind: offer.0.clone(),
+        zone: offer.1.clone(),
+        spot: offer.2,
+        count,
+    };
+    Some((hire, offer))
+}
+
+fn cost(t: &MachineType, spot: bool) -> f64 {
+    if spot { t.spot_price } else { t.price }
+}
+
+/// Machines by life, for the report.
+pub fn census(view: &View) -> BTreeMap<&'static str, usize> {
+    let mut counts = BTreeMap::new();
+    for e in view.machines.values() {
+        let name = match e.value.life {
+            Life::Booting => "booting",
+            Life::Active => "active",
+            Life::Draining => "draining",
+            Life::Returning => "returning",
+            Life::Gone => "gone",
+        };
+        *counts.entry(name).or_insert(0) += 1;
+    }
+    counts
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+fn main() -> std::process::ExitCode {
+    shelfhoist::cli::main()
+}
--- /dev/null
+++ b/src/mesh.rs
@@ -0,0 +1,192 @@
+//! What controllers tell one another: hints only. Nothing that a Rule rests
+//! on is decided by what comes over the mesh.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bincode::{Decode, Encode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::net::{Listener, Stream};
+use crate::node::Node;
+
+/// One controller's word on itself, sent a few times in a lease.
+#[derive(Debug, Clone, Encode, Decode)]
+pub struct Gossip {
+    pub node: String,
+    pub incarnation: u64,
+    /// How old its horizon is; `None` before its first barrier.
+    pub horizon_ms: Option<u64>,
+    /// Machines that it holds, with the time since each was heard.
+    pub heard: Vec<(String, u64)>,
+}
+
+const FRAME_LIMIT: usize = 256 * 1024;
+
+#[derive(Debug)]
+pub struct Peer {
+    pub at: Instant,
+    pub incarnation: u64,
+    pub horizon_ms: Option<u64>,
+    pub heard: HashMap<String, Instant>,
+}
+
+#[derive(Debug, Default)]
+pub struct Peers(HashMap<String, Peer>);
+
+fn interval(node: &Node) -> Duration {
+    (node.settings.lease() / 20).min(Duration::from_secs(1))
+}
+
+impl Peers {
+    pub fn take(&mut self, gossip: Gossip, now: Instant) {
+        let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
+        let heard = gossip
+            .heard
+            .into_iter()
+            .map(|(id, ms)| (id, ago(ms)))
+            .collect();
+        self.0.insert(
+            gossip.node,
+            Peer {
+                at: now,
+                incarnation: gossip.incarnation,
+                horizon_ms: gossip.horizon_ms,
+                heard,
+            },
+        );
+    }
+
+    fn fresh(&self, node: &Node, now: Instant) -> impl Iterator<Item = (&str, &Peer)> {
+        let limit = interval(node) * 4;
+        self.0
+            .iter()
+            .filter(move |(_, p)| now.saturating_duration_since(p.at) < limit)
+            .map(|(n, p)| (n.as_str(), p))
+    }
+
+    /// This controller and those that were heard of late with state contact.
+    pub fn alive<'a>(&'a self, node: &'a Node, now: Instant) -> Vec<&'a str> {
+        let limit = (node.settings.lease() / 4).as_millis() as u64;
+        let mut names: Vec<&str> = self
+            .fresh(node, now)
+            .filter(|(_, p)| p.horizon_ms.is_some_and(|h| h < limit))
+            .map(|(n, _)| n)
+            .collect();
+        names.push(node.name());
+        names
+    }
+
+    /// Whether some other controller is served by the state service.
+    pub fn state_serves_another(&self, node: &Node, now: Instant) -> bool {
+        self.alive(node, now).len() > 1
+    }
+
+    /// When any controller last heard from the machine, as far as is known.
+    pub fn heard(&self, node: &Node, machine: &str, now: Instant) -> Option<Instant> {
+        let others = self
+            .fresh(node, now)
+            .filter_map(|(_, p)| p.heard.get(machine).copied())
+            .max();
+        let own = node.hands.borrow().get(machine).map(|h| h.heard);
+        others.max(own)
+    }
+}
+
+pub fn encode(gossip: &Gossip) -> Option<Vec<u8>> {
+    let body = bincode::encode_to_vec(gossip, bincode::config::standard()).ok()?;
+    let mut frame = (body.len() as u32).to_be_bytes().to_vec();
+    frame.extend(body);
+    Some(frame)
+}
+
+pub fn decode(body: &[u8]) -> Option<Gossip> {
+    let config = bincode::config::standard().with_limit::<FRAME_LIMIT>();
+    bincode::decode_from_slice(body, config)
+        .ok()
+        .map(|(g, _)| g)
+}
+
+pub async fn listen(node: Rc<Node>, mut listener: Listener) {
+    loop {
+        match listener.accept().await {
+            Ok(stream) => {
+                tokio::task::spawn_local(hear(node.clone(), stream));
+            }
+            Err(_) => sleep(Duration::from_millis(100)).await,
+        }
+    }
+}
+
+async fn hear(node: Rc<Node>, mut stream: Stream) {
+    let patience = interval(&node) * 10;
+    loop {
+        let frame = async {
+            let len = stream.read_u32().await? as usize;
+            if len > FRAME_LIMIT {
+                return Err(std::io::Error::from(std::io::ErrorKind::InvalidData));
+            }
+            let mut body = vec![0; len];
+            stream.read_exact(&mut body).await?;
+            Ok(body)
+        };
+        let Ok(Ok(body)) = timeout(patience, frame).await else {
+            return;
+        };
+        let known = |g: &Gossip| node.settings.others.iter().any(|p| p.name == g.node);
+        match decode(&body) {
+            Some(gossip) if known(&gossip) => {
+                node.peers.borrow_mut().take(gossip, Instant::now());
+            }
+            _ => return,
+        }
+    }
+}
+
+pub async fn speak(node: Rc<Node>) {
+    for peer in node.settings.others.clone() {
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            let mut stream: Option<Stream> = None;
+            loop {
+                sleep(interval(&node)).await;
+                if stream.is_none() {
+                    let dial = node.net.dial(peer.addr);
+                    stream = timeout(interval(&node), dial)
+                        .await
+                        .ok()
+                        .and_then(Result::ok);
+                }
+                let Some(open) = &mut stream else { continue };
+                let Some(frame) = encode(&word(&node)) else {
+                    continue;
+                };
+                // A write that hangs sits behind a cut: begin anew.
+                match timeout(interval(&node), open.write_all(&frame)).await {
+                    Ok(Ok(())) => {}
+                    _ => stream = None,
+                }
+            }
+        });
+    }
+}
+
+fn word(node: &Node) -> Gossip {
+    let now = Instant::now();
+    Gossip {
+        node: node.name().to_string(),
+        incarnation: node.incarnation,
+        horizon_ms: node.horizon_age().map(|a| a.as_millis() as u64),
+        heard: node
+            .hands
+            .borrow()
+            .iter()
+            .map(|(id, h)| {
+                let ms = now.saturating_duration_since(h.heard).as_millis() as u64;
+                (id.clone(), ms)
+            })
+            .collect(),
+    }
+}
--- /dev/null
+++ b/src/model.rs
@@ -0,0 +1,593 @@
+//! What the state service keeps: jobs, teams, zones, machines and rentals.
+//!
+//! Records are small JSON values with short field names, as `value_kb` bounds
+//! each of them. Everything here is plain data and pure functions.
+
+use std::collections::BTreeMap;
+use std::ops::{Add, AddAssign, Sub, SubAssign};
+
+use serde::{Deserialize, Serialize};
+
+use crate::wire::{Kind, MachineType, Priority, Submission};
+
+/// A thousandth of a unit. Whole numbers, so that every controller adds up to
+/// the same figure.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Amount(pub i64);
+
+impl Amount {
+    /// What a task needs: rounded up.
+    pub fn need(x: f64) -> Self {
+        Amount((x * 1000.0 - 1e-6).ceil().max(0.0) as i64)
+    }
+    /// What a machine or a limit gives: rounded down.
+    pub fn room(x: f64) -> Self {
+        Amount((x * 1000.0 + 1e-6).floor().max(0.0) as i64)
+    }
+    pub fn units(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    #[serde(rename = "c")]
+    pub cpus: Amount,
+    #[serde(rename = "g")]
+    pub gpus: Amount,
+    #[serde(rename = "m")]
+    pub ram: Amount,
+}
+
+impl Room {
+    pub fn of_type(t: &MachineType) -> Self {
+        Room {
+            cpus: Amount::room(t.cpus),
+            gpus: Amount::room(t.gpus),
+            ram: Amount::room(t.memory_gb),
+        }
+    }
+
+    pub fn fits(&self, need: &Room) -> bool {
+        need.cpus <= self.cpus && need.gpus <= self.gpus && need.ram <= self.ram
+    }
+
+    pub fn times(&self, n: usize) -> Room {
+        let n = n as i64;
+        Room {
+            cpus: Amount(self.cpus.0.saturating_mul(n)),
+            gpus: Amount(self.gpus.0.saturating_mul(n)),
+            ram: Amount(self.ram.0.saturating_mul(n)),
+        }
+    }
+
+    /// How many tasks of `need` fit at once.
+    pub fn slots(&self, need: &Room) -> usize {
+        let part = |have: Amount, want: Amount| {
+            if want.0 <= 0 {
+                usize::MAX
+            } else {
+                (have.0.max(0) / want.0) as usize
+            }
+        };
+        part(self.cpus, need.cpus)
+            .min(part(self.gpus, need.gpus))
+            .min(part(self.ram, need.ram))
+    }
+}
+
+impl Add for Room {
+    type Output = Room;
+    fn add(self, o: Room) -> Room {
+        Room {
+            cpus: Amount(self.cpus.0 + o.cpus.0),
+            gpus: Amount(self.gpus.0 + o.gpus.0),
+            ram: Amount(self.ram.0 + o.ram.0),
+        }
+    }
+}
+impl Sub for Room {
+    type Output = Room;
+    fn sub(self, o: Room) -> Room {
+        Room {
+            cpus: Amount(self.cpus.0 - o.cpus.0),
+            gpus: Amount(self.gpus.0 - o.gpus.0),
+            ram: Amount(self.ram.0 - o.ram.0),
+        }
+    }
+}
+impl AddAssign for Room {
+    fn add_assign(&mut self, o: Room) {
+        *self = *self + o;
+    }
+}
+impl SubAssign for Room {
+    fn sub_assign(&mut self, o: Room) {
+        *self = *self - o;
+    }
+}
+
+/// A set of task numbers as sorted, disjoint, closed ranges.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Ranges(pub Vec<(u32, u32)>);
+
+impl Ranges {
+    pub fn one(n: u32) -> Self {
+        Ranges(vec![(n, n)])
+    }
+    pub fn len(&self) -> usize {
+        self.0.iter().map(|(a, b)| (b - a + 1) as usize).sum()
+    }
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+    pub fn contains(&self, n: u32) -> bool {
+        self.0.iter().any(|&(a, b)| a <= n && n <= b)
+    }
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        self.0.iter().flat_map(|&(a, b)| a..=b)
+    }
+    pub fn insert(&mut self, n: u32) {
+        if self.contains(n) {
+            return;
+        }
+        let at = self.0.partition_point(|&(a, _)| a < n);
+        self.0.insert(at, (n, n));
+        // Join with the neighbours where they touch.
+        if at + 1 < self.0.len() && self.0[at].1 + 1 == self.0[at + 1].0 {
+            self.0[at].1 = self.0[at + 1].1;
+            self.0.remove(at + 1);
+        }
+        if at > 0 && self.0[at - 1].1 + 1 == self.0[at].0 {
+            self.0[at - 1].1 = self.0[at].1;
+            self.0.remove(at);
+        }
+    }
+    pub fn remove(&mut self, n: u32) -> bool {
+        let Some(at) = self.0.iter().position(|&(a, b)| a <= n && n <= b) else {
+            return false;
+        };
+        let (a, b) = self.0.remove(at);
+        if n < b {
+            self.0.insert(at, (n + 1, b));
+        }
+        if a < n {
+            self.0.insert(at, (a, n - 1));
+        }
+        true
+    }
+    pub fn pop_first(&mut self) -> Option<u32> {
+        let n = self.0.first()?.0;
+        self.remove(n);
+        Some(n)
+    }
+}
+
+/// The part of a submission that placing needs, kept with the job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Spec {
+    #[serde(rename = "l")]
+    pub class: String,
+    #[serde(rename = "w")]
+    pub team: String,
+    #[serde(rename = "k")]
+    pub kind: Kind,
+    #[serde(rename = "p")]
+    pub priority: Priority,
+    #[serde(rename = "n")]
+    pub tasks: u32,
+    #[serde(rename = "r")]
+    pub need: Room,
+    #[serde(rename = "i")]
+    pub image: String,
+    #[serde(rename = "ig")]
+    pub image_gb: f64,
+    #[serde(rename = "ty", default, skip_serializing_if = "Option::is_none")]
+    pub types: Option<Vec<String>>,
+    #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    #[serde(rename = "oz", default, skip_serializing_if = "is_false")]
+    pub one_zone: bool,
+    #[serde(rename = "sp", default, skip_serializing_if = "is_false")]
+    pub spread: bool,
+    #[serde(rename = "lo", default, skip_serializing_if = "is_false")]
+    pub spot: bool,
+    #[serde(rename = "e")]
+    pub estimate_s: f64,
+    #[serde(rename = "cs")]
+    pub checkpoint_s: f64,
+    #[serde(rename = "ss")]
+    pub save_s: f64,
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    pub deadline_s: Option<f64>,
+}
+
+fn is_false(b: &bool) -> bool {
+    !b
+}
+
+impl From<&Submission> for Spec {
+    fn from(s: &Submission) -> Self {
+        Spec {
+            class: s.class.clone(),
+            team: s.team.clone(),
+            kind: s.kind,
+            priority: s.priority,
+            tasks: s.tasks,
+            need: Room {
+                cpus: Amount::need(s.cpus),
+                gpus: Amount::need(s.gpus),
+                ram: Amount::need(s.memory_gb),
+            },
+            image: s.image.clone(),
+            image_gb: s.image_gb,
+            types: s.types.clone(),
+            zone: s.zone.clone(),
+            one_zone: s.one_zone,
+            spread: s.spread,
+            spot: s.spot,
+            estimate_s: s.estimate_s,
+            checkpoint_s: s.checkpoint_s,
+            save_s: s.save_s,
+            deadline_s: s.deadline_s,
+        }
+    }
+}
+
+impl Spec {
+    pub fn allows_type(&self, t: &str) -> bool {
+        self.types
+            .as_ref()
+            .is_none_or(|ts| ts.iter().any(|x| x == t))
+    }
+
+    /// Whether the machine's type, zone and kind are allowed; room apart.
+    pub fn allows(&self, kind: &str, zone: &str, spot: bool) -> bool {
+        self.allows_type(kind)
+            && self.zone.as_deref().is_none_or(|z| z == zone)
+            && (self.spot || !spot)
+    }
+
+    /// At most half of the tasks, rounded up, in one zone.
+    pub fn zone_cap(&self) -> usize {
+        if self.spread {
+            (self.tasks as usize).div_ceil(2)
+        } else {
+            usize::MAX
+        }
+    }
+
+    pub fn is_gang(&self) -> bool {
+        self.kind == Kind::Gang
+    }
+}
+
+/// Tasks of one attempt booked on one machine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Run {
+    #[serde(rename = "m")]
+    pub machine: String,
+    /// Kept with the booking, so that a zone's count needs no machine record.
+    #[serde(rename = "z")]
+    pub zone: String,
+    #[serde(rename = "a")]
+    pub attempt: u64,
+    #[serde(rename = "t")]
+    pub tasks: Ranges,
+    /// The run is wanted gone: preempted, drained, or of a broken gang.
+    #[serde(rename = "x", default, skip_serializing_if = "is_false")]
+    pub stop: bool,
+}
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Final {
+    #[default]
+    #[serde(rename = "o")]
+    Open,
+    #[serde(rename = "d")]
+    Done,
+    #[serde(rename = "c")]
+    Cancelled,
+}
+
+/// `job/ID`. Once final and with nothing on any machine, the spec and the
+/// progress are dropped; the final state stays for good.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    #[serde(rename = "f", default)]
+    pub fin: Final,
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<Spec>,
+    /// The number of tasks, kept for display when the spec is gone.
+    #[serde(rename = "n", default)]
+    pub tasks: u32,
+    /// The revision at which it was accepted, near enough: the queue's order.
+    #[serde(rename = "b", default)]
+    pub born: u64,
+    /// The last attempt number given out.
+    #[serde(rename = "a", default)]
+    pub attempt: u64,
+    /// The next task that was never started.
+    #[serde(rename = "x", default)]
+    pub next: u32,
+    #[serde(rename = "q", default, skip_serializing_if = "Ranges::is_empty")]
+    pub retry: Ranges,
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub runs: Vec<Run>,
+    /// Failures in a row, for the back-off.
+    #[serde(rename = "e", default, skip_serializing_if = "is_zero")]
+    pub errors: u32,
+}
+
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
+impl Job {
+    pub fn new(spec: Spec, born: u64) -> Self {
+        Job {
+            fin: Final::Open,
+            tasks: spec.tasks,
+            spec: Some(spec),
+            born,
+            attempt: 0,
+            next: 0,
+            retry: Ranges::default(),
+            runs: Vec::new(),
+            errors: 0,
+        }
+    }
+
+    pub fn is_open(&self) -> bool {
+        self.fin == Final::Open
+    }
+
+    pub fn booked(&self) -> usize {
+        self.runs.iter().map(|r| r.tasks.len()).sum()
+    }
+
+    /// Tasks that wait for a place.
+    pub fn waiting(&self) -> usize {
+        if !self.is_open() {
+            return 0;
+        }
+        match &self.spec {
+            // A gang's next attempt waits until the old one is wholly gone.
+            Some(s) if s.is_gang() => {
+                if self.runs.is_empty() {
+                    s.tasks as usize
+                } else {
+                    0
+                }
+            }
+            Some(s) => (s.tasks - self.next.min(s.tasks)) as usize + self.retry.len(),
+            None => 0,
+        }
+    }
+
+    pub fn done_count(&self) -> u32 {
+        match self.fin {
+            Final::Done => self.tasks,
+            _ => (self.next as usize).saturating_sub(self.retry.len() + self.booked()) as u32,
+        }
+    }
+
+    pub fn find(&self, machine: &str, attempt: u64, task: u32) -> Option<&Run> {
+        self.runs
+            .iter()
+            .find(|r| r.machine == machine && r.attempt == attempt && r.tasks.contains(task))
+    }
+
+    /// Tasks booked in each zone, old attempts included.
+    pub fn per_zone(&self) -> BTreeMap<&str, usize> {
+        let mut zones = BTreeMap::new();
+        for run in &self.runs {
+            *zones.entry(run.zone.as_str()).or_insert(0) += run.tasks.len();
+        }
+        zones
+    }
+
+    /// Books the next waiting task under `attempt`.
+    pub fn book(&mut self, machine: &str, zone: &str, attempt: u64, task: u32) {
+        if let Some(run) = self
+            .runs
+            .iter_mut()
+            .find(|r| r.machine == machine && r.attempt == attempt && !r.stop)
+        {
+            run.tasks.insert(task);
+            return;
+        }
+        self.runs.push(Run {
+            machine: machine.to_string(),
+            zone: zone.to_string(),
+            attempt,
+            tasks: Ranges::one(task),
+            stop: false,
+        });
+    }
+
+    pub fn take_waiting(&mut self) -> Option<u32> {
+        if let Some(n) = self.retry.pop_first() {
+            return Some(n);
+        }
+        if self.next < self.tasks {
+            self.next += 1;
+            return Some(self.next - 1);
+        }
+        None
+    }
+
+    /// Releases a booking whose task is surely gone. False when there was none.
+    pub fn release(&mut self, machine: &str, attempt: u64, task: u32, outcome: Outcome) -> bool {
+        let Some(at) = self
+            .runs
+            .iter()
+            .position(|r| r.machine == machine && r.attempt == attempt && r.tasks.contains(task))
+        else {
+            return false;
+        };
+        self.runs[at].tasks.remove(task);
+        if self.runs[at].tasks.is_empty() {
+            self.runs.remove(at);
+        }
+        let gang = self.spec.as_ref().is_some_and(Spec::is_gang);
+        if self.is_open() {
+            match (outcome, gang) {
+                // A gang completes together: one done task proves all.
+                (Outcome::Done, true) => self.fin = Final::Done,
+                (Outcome::Done, false) => self.errors = 0,
+                (_, true) => {
+                    // One member lost breaks the attempt: all must go.
+                    for run in &mut self.runs {
+                        run.stop = true;
+                    }
+                    self.next = 0;
+                }
+                (_, false) => self.retry.insert(task),
+            }
+            if outcome == Outcome::Failed {
+                self.errors = self.errors.saturating_add(1).min(1000);
+            }
+            if !gang && self.next == self.tasks && self.retry.is_empty() && self.runs.is_empty() {
+                self.fin = Final::Done;
+            }
+        }
+        self.settle();
+        true
+    }
+
+    /// Drops what a finished job no longer needs.
+    pub fn settle(&mut self) {
+        if !self.is_open() && self.runs.is_empty() {
+            self.spec = None;
+            self.retry = Ranges::default();
+        }
+    }
+
+    pub fn cancel(&mut self) {
+        if self.is_open() {
+            self.fin = Final::Cancelled;
+            self.settle();
+        }
+    }
+}
+
+/// How a task's time on a machine came to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Done,
+    /// It failed by itself: counts towards the back-off.
+    Failed,
+    /// Stopped, refused, or lost with its machine.
+    Lost,
+}
+
+/// `team/T`: what the team's bookings take.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Team {
+    #[serde(rename = "u")]
+    pub used: Room,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Slot {
+    #[serde(rename = "t")]
+    pub kind: String,
+    #[serde(rename = "l", default, skip_serializing_if = "is_false")]
+    pub spot: bool,
+    #[serde(rename = "f")]
+    pub free: Room,
+}
+
+/// `zone/Z`: free room per machine that takes work.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Zone {
+    #[serde(rename = "m", default)]
+    pub machines: BTreeMap<String, Slot>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Life {
+    /// Rented, not yet heard from.
+    #[serde(rename = "b")]
+    Booting,
+    #[serde(rename = "a")]
+    Active,
+    /// Takes no new work.
+    #[serde(rename = "d")]
+    Draining,
+    /// Goes back to the cloud; never undone.
+    #[serde(rename = "r")]
+    Returning,
+    /// The cloud has confirmed: nothing on it exists any more.
+    #[serde(rename = "g")]
+    Gone,
+}
+
+/// `machine/ID`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Machine {
+    #[serde(rename = "h", default)]
+    pub holder: String,
+    /// The incarnation of the holder that bumped the token: after a restart
+    /// the same node must bump it again before it gives orders.
+    #[serde(rename = "i", default)]
+    pub incarnation: u64,
+    #[serde(rename = "k", default)]
+    pub token: u64,
+    #[serde(rename = "f")]
+    pub life: Life,
+    #[serde(rename = "t")]
+    pub kind: String,
+    #[serde(rename = "z")]
+    pub zone: String,
+    #[serde(rename = "l", default, skip_serializing_if = "is_false")]
+    pub spot: bool,
+}
+
+/// `hire/ID`: a rental that is or may be under way.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Hire {
+    #[serde(rename = "t")]
+    pub kind: String,
+    #[serde(rename = "z")]
+    pub zone: String,
+    #[serde(rename = "l", default)]
+    pub spot: bool,
+    #[serde(rename = "n")]
+    pub count: u32,
+}
+
+/// `types`: the cloud's machine types as last read.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Types {
+    pub types: Vec<MachineType>,
+}
+
+/// `fleet`: who rents, tied to a state lease.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Renter {
+    #[serde(rename = "h")]
+    pub node: String,
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+}
+
+/// Splits `job-000412/3` into the job and the task's number.
+pub fn split_task(task: &str) -> Option<(&str, u32)> {
+    let (job, n) = task.rsplit_once('/')?;
+    if n.is_empty() || (n.len() > 1 && n.starts_with('0')) {
+        return None;
+    }
+    Some((job, n.parse().ok()?))
+}
+
+/// Ids look like `job-000412`: the word, a dash and digits.
+pub fn is_job_id(id: &str) -> bool {
+    id.strip_prefix("job-")
+        .is_some_and(|d| (1..=18).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
+}
--- /dev/null
+++ b/src/net.rs
@@ -0,0 +1,103 @@
+//! Where streams come from: the system's sockets, or a fabric inside one
+//! process that tests run whole services on, in simulated time.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+
+use tokio::io::{AsyncRead, AsyncWrite, DuplexStream};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+pub trait Duplex: AsyncRead + AsyncWrite + Unpin {}
+impl<T: AsyncRead + AsyncWrite + Unpin> Duplex for T {}
+pub type Stream = Box<dyn Duplex>;
+
+/// The bytes that a fabric's stream holds on the way.
+const FABRIC_BUFFER: usize = 64 * 1024;
+
+#[derive(Default)]
+pub struct Fabric {
+    listeners: RefCell<HashMap<SocketAddrV4, mpsc::UnboundedSender<DuplexStream>>>,
+    cut: RefCell<HashSet<(SocketAddrV4, SocketAddrV4)>>,
+}
+
+impl Fabric {
+    /// From now on `from` reaches `to` no more: dials hang, as behind a cut.
+    pub fn cut(&self, from: SocketAddrV4, to: SocketAddrV4) {
+        self.cut.borrow_mut().insert((from, to));
+    }
+    pub fn mend(&self, from: SocketAddrV4, to: SocketAddrV4) {
+        self.cut.borrow_mut().remove(&(from, to));
+    }
+    /// The listener at `addr` is gone, as when its process has ended.
+    pub fn close(&self, addr: SocketAddrV4) {
+        self.listeners.borrow_mut().remove(&addr);
+    }
+}
+
+/// How one process reaches others.
+#[derive(Clone)]
+pub enum Net {
+    System,
+    Fabric(Rc<Fabric>, SocketAddrV4),
+}
+
+pub enum Listener {
+    System(TcpListener),
+    Fabric(mpsc::UnboundedReceiver<DuplexStream>),
+}
+
+impl Net {
+    pub async fn dial(&self, addr: SocketAddrV4) -> io::Result<Stream> {
+        match self {
+            Net::System => {
+                let stream = TcpStream::connect(SocketAddr::V4(addr)).await?;
+                stream.set_nodelay(true)?;
+                Ok(Box::new(stream))
+            }
+            Net::Fabric(fabric, from) => {
+                if fabric.cut.borrow().contains(&(*from, addr)) {
+                    std::future::pending::<()>().await;
+                }
+                let (ours, theirs) = tokio::io::duplex(FABRIC_BUFFER);
+                let listeners = fabric.listeners.borrow();
+                let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
+                let listener = listeners.get(&addr).ok_or_else(refused)?;
+                listener.send(theirs).map_err(|_| refused())?;
+                Ok(Box::new(ours))
+            }
+        }
+    }
+
+    pub async fn listen(&self, addr: SocketAddrV4) -> io::Result<Listener> {
+        match self {
+            Net::System => Ok(Listener::System(
+                TcpListener::bind(SocketAddr::V4(addr)).await?,
+            )),
+            Net::Fabric(fabric, _) => {
+                let (tx, rx) = mpsc::unbounded_channel();
+                fabric.listeners.borrow_mut().insert(addr, tx);
+                Ok(Listener::Fabric(rx))
+            }
+        }
+    }
+}
+
+impl Listener {
+    pub async fn accept(&mut self) -> io::Result<Stream> {
+        match self {
+            Listener::System(l) => {
+                let (stream, _) = l.accept().await?;
+                stream.set_nodelay(true)?;
+                Ok(Box::new(stream))
+            }
+            Listener::Fabric(rx) => match rx.recv().await {
+                Some(stream) => Ok(Box::new(stream)),
+                None => std::future::pending().await,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,329 @@
+//! One controller: what its loops share, and the loops that keep the view
+//! and the horizon.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::fleet::FleetState;
+use crate::http::Client;
+use crate::machines::{EndKey, Hand};
+use crate::mesh::Peers;
+use crate::model::Outcome;
+use crate::net::Net;
+use crate::placement::Reason;
+use crate::settings::Settings;
+use crate::store::{Budget, Class, Store, StoreError};
+use crate::view::{BARRIER_KEY, PREFIX, View};
+use crate::wire::{Commit, Guard, Write};
+
+pub struct Node {
+    pub settings: Settings,
+    pub net: Net,
+    pub client: Rc<Client>,
+    pub store: Store,
+    /// Tells this run of the process from the earlier ones of the same name.
+    pub incarnation: u64,
+    pub started: Instant,
+    pub view: RefCell<View>,
+    /// The revision that the view has reached, for those who wait on it.
+    pub reached: watch::Sender<u64>,
+    /// Something that placing depends on has changed.
+    pub stir: Notify,
+    /// Machines whose bookings or reports have changed.
+    pub poke: Notify,
+    /// The send time of the last barrier that the view has reached.
+    pub horizon: Cell<Option<Instant>>,
+    barrier_wanted: Notify,
+    barrier_started: Cell<u64>,
+    barrier_done: watch::Sender<u64>,
+    watch_again: Notify,
+    pub hands: RefCell<HashMap<String, Hand>>,
+    pub ends: RefCell<BTreeMap<EndKey, Outcome>>,
+    pub ends_wanted: Notify,
+    pub claims: RefCell<BTreeMap<String, watch::Sender<bool>>>,
+    pub claims_wanted: Notify,
+    pub peers: RefCell<Peers>,
+    pub fleet: RefCell<FleetState>,
+    /// Why each open job waits, as the decision that made it wait said.
+    pub reasons: RefCell<HashMap<String, Reason>>,
+    pub rng: RefCell<SmallRng>,
+}
+
+impl Node {
+    pub fn new(settings: Settings, net: Net, seed: u64) -> Rc<Self> {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let now = Instant::now();
+        let d = &settings.deployment;
+        let count = d.count as f64;
+        let client = Rc::new(Client::new(net.clone(), settings.lease()));
+        // The limits are shared by all controllers, which do not count for
+        // one another: each keeps to its part, a little below it.
+        let budget = Budget::new(
+            d.state.rps / count * 0.97,
+            d.state.write_rps / count * 0.97,
+            now,
+        );
+        // Answers take milliseconds, now and then hundreds of them.
+        let patience = Duration::from_secs_f64((d.workers.lease_s / 8.0).clamp(0.5, 2.0));
+        let store = Store::new(
+            client.clone(),
+            settings.external.state,
+            budget,
+            patience,
+            SmallRng::seed_from_u64(rng.random()),
+        );
+        Rc::new(Node {
+            net,
+            client,
+            store,
+            incarnation: rng.random_range(1..u64::MAX / 4),
+            started: now,
+            view: RefCell::default(),
+            reached: watch::Sender::new(0),
+            stir: Notify::new(),
+            poke: Notify::new(),
+            horizon: Cell::new(None),
+            barrier_wanted: Notify::new(),
+            barrier_started: Cell::new(0),
+            barrier_done: watch::Sender::new(0),
+            watch_again: Notify::new(),
+            hands: RefCell::default(),
+            ends: RefCell::default(),
+            ends_wanted: Notify::new(),
+            claims: RefCell::default(),
+            claims_wanted: Notify::new(),
+            peers: RefCell::default(),
+            fleet: RefCell::default(),
+            reasons: RefCell::default(),
+            rng: RefCell::new(rng),
+            settings,
+        })
+    }
+
+    pub fn name(&self) -> &str {
+        &self.settings.node
+    }
+
+    /// The span in which this controller may make one request of its share.
+    pub fn request_gap(&self) -> Duration {
+        let d = &self.settings.deployment;
+        Duration::from_secs_f64(d.count as f64 / d.state.rps)
+    }
+
+    /// How old the horizon is; `None` before the first barrier.
+    pub fn horizon_age(&self) -> Option<Duration> {
+        self.horizon.get().map(|t| t.elapsed())
+    }
+
+    /// Safety 4: a controller that may have missed a cancellation for too
+    /// long must not keep workers' leases alive.
+    pub fn may_answer_beats(&self) -> bool {
+        self.horizon_age()
+            .is_some_and(|age| age < self.settings.horizon_limit())
+    }
+
+    /// Whether the state service serves this controller, as far as is known.
+    pub fn has_state(&self) -> bool {
+        let limit = self.settings.lease() / 4;
+        self.horizon_age().is_some_and(|age| age < limit)
+    }
+
+    /// Waits until the view holds everything that was committed before this
+    /// call. Many callers share one read of the revision.
+    pub async fn barrier(&self, limit: Duration) -> bool {
+        // The next barrier to start was surely sent after this moment.
+        let wanted = self.barrier_started.get() + 1;
+        self.barrier_wanted.notify_one();
+        let mut done = self.barrier_done.subscribe();
+        matches!(
+            timeout(limit, done.wait_for(|d| *d >= wanted)).await,
+            Ok(Ok(_))
+        )
+    }
+
+    pub async fn wait_revision(&self, revision: u64, limit: Duration) -> bool {
+        let mut reached = self.reached.subscribe();
+        matches!(
+            timeout(limit, reached.wait_for(|r| *r >= revision)).await,
+            Ok(Ok(_))
+        )
+    }
+
+    /// Commits and lays the result over the view.
+    pub async fn commit(
+        &self,
+        class: Class,
+        guards: Vec<Guard>,
+        writes: Vec<Write>,
+    ) -> Result<u64, StoreError> {
+        let commit = Commit { guards, writes };
+        let revision = self.store.commit(class, &commit).await?;
+        self.view.borrow_mut().overlay(&commit.writes, revision);
+        self.announce();
+        Ok(revision)
+    }
+
+    /// Tells the loops that the view has changed.
+    pub fn announce(&self) {
+        let revision = self.view.borrow().revision;
+        self.reached.send_if_modified(|r| {
+            let newer = *r < revision;
+            *r = revision.max(*r);
+            newer
+        });
+        self.stir.notify_one();
+        self.poke.notify_one();
+    }
+
+    async fn load(&self) -> Result<(), StoreError> {
+        let mut pairs = Vec::new();
+        let mut after = String::new();
+        let mut revision = u64::MAX;
+        loop {
+            let page = self.store.page(PREFIX, &after).await?;
+            revision = revision.min(page.revision);
+            if let Some(last) = page.items.last() {
+                after = last.key.clone();
+            }
+            pairs.extend(page.items);
+            if !page.more {
+                break;
+            }
+        }
+        tracing::info!(keys = pairs.len(), revision, "state read");
+        // Pages read at different revisions may together show a removed key
+        // or half of a commit; the events after the oldest mend both.
+        self.view.borrow_mut().reload(pairs, revision);
+        self.announce();
+        Ok(())
+    }
+
+    /// Keeps the view: a full read, then one watch after another.
+    pub async fn keep_view(self: Rc<Self>) {
+        let gap = self.request_gap() * 3;
+        let block = self.settings.lease() / 4;
+        loop {
+            if !self.view.borrow().loaded {
+                if let Err(error) = self.load().await {
+                    tracing::debug!(%error, "state not read");
+                    sleep(self.store.jitter(Duration::from_millis(200))).await;
+                    continue;
+                }
+                // Half commits among pages are mended by the first watch.
+            }
+            let opened = Instant::now();
+            let after = self.view.borrow().revision;
+            let answer = tokio::select! {
+                a = self.store.watch(PREFIX, after, block) => a,
+                () = self.watch_again.notified() => {
+                    tracing::debug!("watch opened again");
+                    continue;
+                }
+            };
+            match answer {
+                Ok(answer) => {
+                    self.view
+                        .borrow_mut()
+                        .advance(answer.events, answer.revision);
+                    self.announce();
+                }
+                Err(StoreError::TooOld) => {
+                    tracing::info!("the watch has fallen behind: reading all again");
+                    self.view.borrow_mut().loaded = false;
+                }
+                Err(error) => {
+                    tracing::debug!(%error, "watch failed");
+                    sleep(self.store.jitter(Duration::from_millis(200))).await;
+                }
+            }
+            // Each opened watch counts as a request: a busy stream of changes
+            // is taken in sips.
+            sleep(gap.saturating_sub(opened.elapsed())).await;
+        }
+    }
+
+    /// Keeps the horizon and serves those who wait for a barrier.
+    pub async fn keep_horizon(self: Rc<Self>) {
+        let idle = self.settings.horizon_limit() / 20;
+        let gap = self.request_gap() * 4;
+        loop {
+            let _ = timeout(idle, self.barrier_wanted.notified()).await;
+            let sent = Instant::now();
+            let number = self.barrier_started.get() + 1;
+            self.barrier_started.set(number);
+            match self.store.revision(BARRIER_KEY).await {
+                Ok(revision) => {
+                    let limit = self.settings.lease() / 8;
+                    if self.view.borrow().loaded && self.wait_revision(revision, limit).await {
+                        self.horizon.set(Some(sent));
+                        self.barrier_done.send_replace(number);
+                    } else {
+                        // The watch is stuck, or its connection is dead.
+                        self.watch_again.notify_one();
+                    }
+                }
+                Err(error) => tracing::debug!(%error, "barrier failed"),
+            }
+            sleep(gap.saturating_sub(sent.elapsed())).await;
+        }
+    }
+
+    /// Starts all loops of this controller; must run inside a `LocalSet`.
+    /// They end with the returned set.
+    pub async fn run(self: Rc<Self>) -> std::io::Result<()> {
+        let users = self.net.listen(self.settings.serve_on).await?;
+        let mesh = self.net.listen(self.settings.mesh_addr).await?;
+        let tasks = [
+            tokio::task::spawn_local(self.clone().keep_view()),
+            tokio::task::spawn_local(self.clone().keep_horizon()),
+            tokio::task::spawn_local(crate::api::serve(self.clone(), users)),
+            tokio::task::spawn_local(crate::mesh::listen(self.clone(), mesh)),
+            tokio::task::spawn_local(crate::mesh::speak(self.clone())),
+            tokio::task::spawn_local(crate::machines::keep_claims(self.clone())),
+            tokio::task::spawn_local(crate::machines::keep_ends(self.clone())),
+            tokio::task::spawn_local(crate::machines::keep_orders(self.clone())),
+            tokio::task::spawn_local(crate::machines::keep_rooms(self.clone())),
+            tokio::task::spawn_local(crate::placement::keep_placing(self.clone())),
+            tokio::task::spawn_local(crate::fleet::keep_types(self.clone())),
+            tokio::task::spawn_local(crate::fleet::keep_fleet(self.clone())),
+        ];
+        tracing::info!(node = self.name(), on = %self.settings.serve_on, "started");
+        let _abort = AbortAll(tasks.iter().map(|t| t.abort_handle()).collect());
+        for task in tasks {
+            let _ = task.await;
+        }
+        Ok(())
+    }
+}
+
+/// Ends the loops when the controller is dropped, as tests do.
+struct AbortAll(Vec<tokio::task::AbortHandle>);
+
+impl Drop for AbortAll {
+    fn drop(&mut self) {
+        for task in &self.0 {
+            task.abort();
+        }
+    }
+}
+
+pub fn guard(key: String, version: u64) -> Guard {
+    Guard { key, version }
+}
+
+/// A write of `value` under `key`. Records are plain data: writing them as
+/// JSON cannot fail.
+pub fn put<T: serde::Serialize>(key: String, value: &T) -> Write {
+    Write::Put {
+        key,
+        value: serde_json::to_value(value).unwrap_or_default(),
+        lease: None,
+    }
+}
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,440 @@
+//! Rounds of admission: what waits, in queue order, gets its places in one
+//! conditional write per batch. A round takes what has gathered, so that its
+//! batches widen with the load.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::Serialize;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::admission::{self, Hints, Plan, Wait};
+use crate::model::{Job, Life, Room, Spec, Team};
+use crate::node::{Node, guard, put};
+use crate::store::{Class, StoreError};
+use crate::view::{View, job_key, team_key, zone_key};
+use crate::wire::{Guard, Write};
+
+/// A job's reason to wait, as the last round that looked at it found.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Reason {
+    pub why: Wait,
+    #[serde(skip)]
+    pub since: Instant,
+}
+
+/// Rendezvous hashing: every controller finds the same preferred one among
+/// those alive, and only the jobs of a lost one move.
+pub fn preferred<'a>(job: &str, alive: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    alive.max_by_key(|node| {
+        let mut h = DefaultHasher::new();
+        (job, node).hash(&mut h);
+        (h.finish(), *node)
+    })
+}
+
+/// How long a job that failed so often waits before it is tried again.
+pub fn back_off(errors: u32, base: Duration) -> Duration {
+    match errors {
+        0 => Duration::ZERO,
+        n => base * 2u32.pow((n - 1).min(5)),
+    }
+}
+
+#[derive(Default)]
+struct Rounds {
+    /// When this controller first saw the job in its present version.
+    seen: HashMap<String, (u64, Instant)>,
+    /// Jobs whose latest failure is waited out until then.
+    held: HashMap<String, (u32, Instant)>,
+    /// Preemptions made, so that their effect is awaited.
+    preempted: HashMap<String, Instant>,
+}
+
+pub async fn keep_placing(node: Rc<Node>) {
+    let mut rounds = Rounds::default();
+    let idle = node.settings.report() / 3;
+    let least = node.request_gap();
+    loop {
+        let _ = timeout(idle, node.stir.notified()).await;
+        if !node.view.borrow().loaded || !node.has_state() {
+            continue;
+        }
+        let begun = Instant::now();
+        // As many commits as it takes; each waits for its answer.
+        while let Some(batch) = choose(&node, &mut rounds) {
+            let booked = batch.jobs.len();
+            match node.commit(Class::Admit, batch.guards, batch.writes).await {
+                Ok(_) => {
+                    tracing::debug!(jobs = booked, "admitted");
+                }
+                Err(StoreError::Conflict(keys)) => {
+                    tracing::debug!(?keys, "admission conflict");
+                    let _ = timeout(
+                        node.store.jitter(node.request_gap() * 6),
+                        node.stir.notified(),
+                    )
+                    .await;
+                    sleep(node.store.jitter(node.request_gap() * 2)).await;
+                }
+                Err(error) => {
+                    // It may have happened: the view tells after a barrier.
+                    tracing::debug!(%error, "admission not answered");
+                    if !node.barrier(node.settings.lease() / 4).await {
+                        break;
+                    }
+                }
+            }
+        }
+        // CPU is scarce: a round that found nothing is not begun at once.
+        sleep(least.max(begun.elapsed() / 2)).await;
+    }
+}
+
+struct Batch {
+    jobs: Vec<String>,
+    guards: Vec<Guard>,
+    writes: Vec<Write>,
+}
+
+/// Jobs this controller should place now: its own, and those that their
+/// preferred controller has left waiting.
+fn mine(node: &Node, rounds: &mut Rounds, view: &View, now: Instant) -> Vec<String> {
+    let step_in = node.settings.report() * 2;
+    let peers = node.peers.borrow();
+    let alive: Vec<&str> = peers.alive(node, now);
+    let mut ids = Vec::new();
+    rounds
+        .seen
+        .retain(|id, _| view.jobs.get(id).is_some_and(|e| e.value.is_open()));
+    rounds.held.retain(|id, _| rounds.seen.contains_key(id));
+    for (_, id) in &view.open {
+        let Some(entry) = view.jobs.get(id) else {
+            continue;
+        };
+        let seen = rounds
+            .seen
+            .entry(id.clone())
+            .or_insert((entry.version, now));
+        if seen.0 != entry.version {
+            *seen = (entry.version, now);
+        }
+        if entry.value.waiting() == 0 {
+            continue;
+        }
+        let errors = entry.value.errors;
+        if errors > 0 {
+            let held = rounds.held.entry(id.clone()).or_insert((0, now));
+            if held.0 < errors {
+                let base = node.settings.report();
+                *held = (errors, now + back_off(errors, base));
+            }
+            if held.1 > now {
+                note(node, id, Wait::BackOff, now);
+                continue;
+            }
+        }
+        let preferred = preferred(id, alive.iter().copied());
+        if preferred == Some(node.name()) || now.saturating_duration_since(seen.1) > step_in {
+            ids.push(id.clone());
+        }
+    }
+    ids
+}
+
+fn note(node: &Node, id: &str, why: Wait, now: Instant) {
+    let mut reasons = node.reasons.borrow_mut();
+    match reasons.get_mut(id) {
+        Some(r) if r.why == why => {}
+        _ => {
+            reasons.insert(id.to_string(), Reason { why, since: now });
+        }
+    }
+}
+
+/// Puts together one commit: as many jobs as it can hold, in queue order.
+fn choose(node: &Node, rounds: &mut Rounds) -> Option<Batch> {
+    let now = Instant::now();
+    let view = node.view.borrow();
+    let ids = mine(node, rounds, &view, now);
+    if ids.is_empty() {
+        return None;
+    }
+    let settings = &node.settings;
+    let ops = settings.deployment.state.txn_ops;
+    let mut plan = Plan::of(&view);
+    let mut queue: Vec<(admission::Rank, &str)> = ids
+        .iter()
+        .filter_map(|id| {
+            let job = &view.jobs.get(id)?.value;
+            let spec = job.spec.as_ref()?;
+            Some((
+                admission::queue_rank(job, spec, &plan, settings),
+                id.as_str(),
+            ))
+        })
+        .collect();
+    queue.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
+    let mut jobs: BTreeMap<String, Job> = BTreeMap::new();
+    let mut teams = BTreeSet::new();
+    let mut zones = BTreeSet::new();
+    let mut blocked = Vec::new();
+    let hints = Hints { view: &view };
+    for (_, id) in queue {
+        let Some(entry) = view.jobs.get(id) else {
+            continue;
+        };
+        let Some(spec) = &entry.value.spec else {
+            continue;
+        };
+        let places = match admission::fit(&entry.value, spec, &plan, &hints, settings) {
+            Ok(places) => places,
+            Err(why) => {
+                note(node, id, why, now);
+                if matches!(why, Wait::NoRoom | Wait::NoZone | Wait::Spread) {
+                    blocked.push(id.to_string());
+                }
+                continue;
+            }
+        };
+        let new_zones = places
+            .iter()
+            .map(|p| &p.zone)
+            .filter(|z| !zones.contains(*z))
+            .collect::<BTreeSet<_>>()
+            .len();
+        let new_ops = 1 + usize::from(!teams.contains(&spec.team)) + new_zones;
+        if jobs.len() + teams.len() + zones.len() + new_ops > ops {
+            note(node, id, Wait::Queue, now);
+            continue;
+        }
+        let mut job = entry.value.clone();
+        book(&mut job, spec, &places);
+        for place in &places {
+            plan.take(&place.zone, &place.machine, &spec.team, spec.need);
+            zones.insert(place.zone.clone());
+        }
+        teams.insert(spec.team.clone());
+        if job.waiting() == 0 {
+            node.reasons.borrow_mut().remove(id);
+        } else {
+            blocked.push(id.to_string());
+            note(node, id, Wait::NoRoom, now);
+        }
+        jobs.insert(id.to_string(), job);
+    }
+    if jobs.is_empty() {
+        return preempt(node, rounds, &view, &plan, &blocked, now);
+    }
+    let mut guards = Vec::new();
+    let mut writes = Vec::new();
+    for (id, job) in &jobs {
+        guards.push(guard(job_key(id), view.job_version(id)));
+        writes.push(put(job_key(id), job));
+    }
+    for name in &teams {
+        guards.push(guard(team_key(name), view.team_version(name)));
+        let used = plan.used(name);
+        writes.push(put(team_key(name), &Team { used }));
+    }
+    for name in &zones {
+        guards.push(guard(zone_key(name), view.zone_version(name)));
+        writes.push(put(zone_key(name), &plan.zones[name]));
+    }
+    Some(Batch {
+        jobs: jobs.into_keys().collect(),
+        guards,
+        writes,
+    })
+}
+
+fn book(job: &mut Job, spec: &Spec, places: &[admission::Place]) {
+    job.attempt += 1;
+    let attempt = job.attempt;
+    for (i, place) in places.iter().enumerate() {
+        let task = if spec.is_gang() {
+            Some(i as u32)
+        } else {
+            job.take_waiting()
+        };
+        if let Some(task) = task {
+            job.book(&place.machine, &place.zone, attempt, task);
+        }
+    }
+}
+
+/// Stops work for the first blocked job that may have it stopped; one job a
+/// round, and again only once the effect has had time to show.
+fn preempt(
+    node: &Node,
+    rounds: &mut Rounds,
+    view: &View,
+    plan: &Plan,
+    blocked: &[String],
+    now: Instant,
+) -> Option<Batch> {
+    let settings = &node.settings;
+    let patience = Duration::from_secs_f64(settings.deployment.workers.gang_peer_s) * 2;
+    rounds
+        .preempted
+        .retain(|_, at| now.saturating_duration_since(*at) < patience);
+    // The room that is being cleared already counts as coming.
+    let mut coming = plan.clone();
+    for (_, id) in &view.open {
+        let Some(job) = view.jobs.get(id).map(|e| &e.value) else {
+            continue;
+        };
+        let Some(spec) = &job.spec else { continue };
+        for run in job.runs.iter().filter(|r| r.stop) {
+            clear(
+                &mut coming,
+                &run.zone,
+                &run.machine,
+                &spec.team,
+                spec.need.times(run.tasks.len()),
+            );
+        }
+    }
+    let hints = Hints { view };
+    for id in blocked {
+        if rounds.preempted.contains_key(id) {
+            continue;
+        }
+        let Some(job) = view.jobs.get(id).map(|e| &e.value) else {
+            continue;
+        };
+        let Some(spec) = &job.spec else { continue };
+        if admission::fit(job, spec, &coming, &hints, settings).is_ok() {
+            continue;
+        }
+        let Some(victims) = find_victims(node, view, &coming, id, job, spec) else {
+            continue;
+        };
+        rounds.preempted.insert(id.clone(), now);
+        let ops = settings.deployment.state.txn_ops;
+        let mut guards = Vec::new();
+        let mut writes = Vec::new();
+        for (victim, machine) in victims.iter().take(ops) {
+            let Some(entry) = view.jobs.get(victim) else {
+                continue;
+            };
+            let mut stopped = entry.value.clone();
+            let gang = stopped.spec.as_ref().is_some_and(Spec::is_gang);
+            for run in &mut stopped.runs {
+                // A gang saves only when all its tasks are told.
+                if gang || run.machine == *machine {
+                    run.stop = true;
+                }
+            }
+            tracing::info!(job = victim, machine, for_job = id, "preempted");
+            guards.push(guard(job_key(victim), entry.version));
+            writes.push(put(job_key(victim), &stopped));
+        }
+        if !writes.is_empty() {
+            return Some(Batch {
+                jobs: vec![],
+                guards,
+                writes,
+            });
+        }
+    }
+    None
+}
+
+fn clear(plan: &mut Plan, zone: &str, machine: &str, team: &str, room: Room) {
+    if let Some(slot) = plan
+        .zones
+        .get_mut(zone)
+        .and_then(|z| z.machines.get_mut(machine))
+    {
+        slot.free += room;
+    }
+    if let Some(used) = plan.teams.get_mut(team) {
+        *used -= room;
+    }
+}
+
+/// The least work whose end makes room for the job: one run after another,
+/// the lowest priority and the youngest first, until it fits.
+fn find_victims(
+    node: &Node,
+    view: &View,
+    coming: &Plan,
+    id: &str,
+    job: &Job,
+    spec: &Spec,
+) -> Option<Vec<(String, String)>> {
+    let settings = &node.settings;
+    let terms = settings.team(&spec.team)?;
+    let tasks = if spec.is_gang() {
+        spec.tasks as usize
+    } else {
+        1
+    };
+    let inside = admission::within_guarantee(terms, &coming.used(&spec.team), spec, tasks);
+    let mut candidates = Vec::new();
+    for (_, other) in &view.open {
+        if other == id {
+            continue;
+        }
+        let Some(entry) = view.jobs.get(other) else {
+            continue;
+        };
+        let Some(victim) = &entry.value.spec else {
+            continue;
+        };
+        let borrows = settings
+            .team(&victim.team)
+            .is_some_and(|t| !t.guarantees(&coming.used(&victim.team)));
+        if !admission::may_preempt(spec, inside, victim, borrows) {
+            continue;
+        }
+        for run in entry.value.runs.iter().filter(|r| !r.stop) {
+            let slot = view.slot(&run.zone, &run.machine);
+            let usable = slot.is_some_and(|s| spec.allows(&s.kind, &run.zone, s.spot))
+                && view
+                    .machines
+                    .get(&run.machine)
+                    .is_some_and(|m| m.value.life == Life::Active);
+            if usable {
+                let order = (victim.priority, std::cmp::Reverse(entry.value.born));
+                candidates.push((order, other, run, victim));
+            }
+        }
+    }
+    candidates.sort_by_key(|c| c.0);
+    let hints = Hints { view };
+    let mut after = coming.clone();
+    let mut victims: Vec<(String, String, String)> = Vec::new();
+    for (_, other, run, victim) in candidates {
+        // Borrowed work counts as borrowed only down to the guarantee.
+        let still = settings
+            .team(&victim.team)
+            .is_some_and(|t| !t.guarantees(&after.used(&victim.team)));
+        if !admission::may_preempt(spec, inside, victim, still) {
+            continue;
+        }
+        clear(
+            &mut after,
+            &run.zone,
+            &run.machine,
+            &victim.team,
+            victim.need.times(run.tasks.len()),
+        );
+        victims.push((other.clone(), run.machine.clone(), run.zone.clone()));
+        if let Ok(places) = admission::fit(job, spec, &after, &hints, settings) {
+            // Only what was cleared where the job will be is needed.
+            let used: BTreeSet<&str> = places.iter().map(|p| p.machine.as_str()).collect();
+            return Some(
+                victims
+                    .into_iter()
+                    .filter(|(_, m, _)| used.contains(m.as_str()))
+                    .map(|(j, m, _)| (j, m))
+                    .collect(),
+            );
+        }
+    }
+    None
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,319 @@
+//! The state service's client. It alone keeps this controller inside its
+//! share of the service's limits, and it lets the work that users wait for
+//! go first.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use tokio::time::{Instant, sleep};
+
+use crate::http::{CallError, Client, Response};
+use crate::wire::{Commit, Hold, HoldRequest, PairPage, Refused, Revision, WatchAnswer};
+
+/// Who goes first when the budget is short: the earlier, the sooner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    Accept,
+    Lease,
+    Claim,
+    End,
+    Admit,
+    Room,
+}
+
+impl Class {
+    /// The share of a full burst that this class must leave for those before.
+    fn reserve(self) -> f64 {
+        match self {
+            Class::Accept | Class::Lease => 0.0,
+            Class::Claim => 0.05,
+            Class::End => 0.1,
+            Class::Admit => 0.15,
+            Class::Room => 0.3,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    fn new(rate: f64, burst: f64, now: Instant) -> Self {
+        Bucket {
+            rate,
+            burst,
+            level: burst,
+            at: now,
+        }
+    }
+    fn refill(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.level = (self.level + passed * self.rate).min(self.burst);
+        self.at = now;
+    }
+    /// How long until `n` can be taken with `reserve` of the burst left over.
+    fn wait(&self, n: f64, reserve: f64) -> Option<Duration> {
+        // More than a burst can never be had at once: it may go into debt.
+        let need = n.min(self.burst * (1.0 - reserve)) + self.burst * reserve;
+        let short = need - self.level;
+        (short > 1e-9).then(|| Duration::from_secs_f64(short / self.rate))
+    }
+}
+
+/// The budget of requests and of written keys; pure but for the clock.
+#[derive(Debug)]
+pub struct Budget {
+    requests: Bucket,
+    writes: Bucket,
+}
+
+impl Budget {
+    pub fn new(rps: f64, write_rps: f64, now: Instant) -> Self {
+        Budget {
+            requests: Bucket::new(rps, rps, now),
+            writes: Bucket::new(write_rps, write_rps, now),
+        }
+    }
+
+    /// Takes one request with `writes` written keys, or says how long to wait.
+    pub fn take(&mut self, class: Class, writes: usize, now: Instant) -> Result<(), Duration> {
+        self.requests.refill(now);
+        self.writes.refill(now);
+        let reserve = class.reserve();
+        let wait = self.requests.wait(1.0, reserve);
+        let wait = if writes > 0 {
+            wait.max(self.writes.wait(writes as f64, reserve))
+        } else {
+            wait
+        };
+        match wait {
+            Some(w) => Err(w),
+            None => {
+                self.requests.level -= 1.0;
+                self.writes.level -= writes as f64;
+                Ok(())
+            }
+        }
+    }
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// A guard did not hold: nothing was written.
+    #[error("conflict on {0:?}")]
+    Conflict(Vec<String>),
+    /// Not executed, surely.
+    #[error("state service refuses: {0}")]
+    Refused(u16),
+    /// May have been executed, or may yet be.
+    #[error("state service does not answer: {0}")]
+    NoAnswer(String),
+    #[error("state lease is over")]
+    NoLease,
+    #[error("the watched revision is too old")]
+    TooOld,
+}
+
+impl From<CallError> for StoreError {
+    fn from(e: CallError) -> Self {
+        match e {
+            CallError::NotSent(_) => StoreError::Refused(0),
+            other => StoreError::NoAnswer(other.to_string()),
+        }
+    }
+}
+
+pub struct Store {
+    client: Rc<Client>,
+    addr: SocketAddrV4,
+    budget: RefCell<Budget>,
+    rng: RefCell<SmallRng>,
+    /// How long an answer may take before it counts as none.
+    patience: Duration,
+    /// When the service last answered anything but a refusal.
+    heard: Cell<Option<Instant>>,
+    /// 429 makes everything but acceptance wait until then.
+    pause: Cell<Option<Instant>>,
+}
+
+impl Store {
+    pub fn new(
+        client: Rc<Client>,
+        addr: SocketAddrV4,
+        budget: Budget,
+        patience: Duration,
+        rng: SmallRng,
+    ) -> Self {
+        Store {
+            client,
+            addr,
+            budget: RefCell::new(budget),
+            rng: RefCell::new(rng),
+            patience,
+            heard: Cell::new(None),
+            pause: Cell::new(None),
+        }
+    }
+
+    /// When the service last served us.
+    pub fn heard(&self) -> Option<Instant> {
+        self.heard.get()
+    }
+
+    /// A delay around `base` that no two controllers share.
+    pub fn jitter(&self, base: Duration) -> Duration {
+        base.mul_f64(self.rng.borrow_mut().random_range(0.5..1.5))
+    }
+
+    async fn admit(&self, class: Class, writes: usize) {
+        loop {
+            let now = Instant::now();
+            if class > Class::Lease
+                && let Some(until) = self.pause.get()
+                && until > now
+            {
+                tokio::time::sleep_until(until).await;
+                continue;
+            }
+            let taken = self.budget.borrow_mut().take(class, writes, now);
+            match taken {
+                Ok(()) => return,
+                Err(wait) => sleep(wait.max(Duration::from_millis(1))).await,
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        class: Class,
+        writes: usize,
+        method: &str,
+        path: &str,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<Response, StoreError> {
+        self.admit(class, writes).await;
+        let response = self
+            .client
+            .call(self.addr, method, path, body, limit)
+            .await?;
+        match response.status {
+            429 => {
+                let pause = self.jitter(Duration::from_millis(150));
+                self.pause.set(Some(Instant::now() + pause));
+                Err(StoreError::Refused(429))
+            }
+            s @ 500.. => Err(StoreError::Refused(s)),
+            _ => {
+                self.heard.set(Some(Instant::now()));
+                Ok(response)
+            }
+        }
+    }
+
+    pub async fn commit(&self, class: Class, commit: &Commit) -> Result<u64, StoreError> {
+        let body = encode(commit)?;
+        let writes = commit.writes.len();
+        let r = self
+            .call(class, writes, "POST", "/commit", Some(body), self.patience)
+            .await?;
+        match r.status {
+            200 => Ok(r.parse::<Revision>()?.revision),
+            409 => Err(StoreError::Conflict(r.parse::<Refused>()?.failed)),
+            400 if String::from_utf8_lossy(&r.body).contains("no such lease") => {
+                Err(StoreError::NoLease)
+            }
+            s => {
+                tracing::error!(status = s, body = %String::from_utf8_lossy(&r.body), "commit refused");
+                Err(StoreError::Refused(s))
+            }
+        }
+    }
+
+    /// The current revision, by asking for a key that never exists.
+    pub async fn revision(&self, key: &str) -> Result<u64, StoreError> {
+        let path = format!("/store/{key}");
+        let r = self
+            .call(Class::Accept, 0, "GET", &path, None, self.patience)
+            .await?;
+        match r.status {
+            404 => Ok(r.parse::<Revision>()?.revision),
+            s => Err(StoreError::Refused(s)),
+        }
+    }
+
+    pub async fn page(&self, prefix: &str, after: &str) -> Result<PairPage, StoreError> {
+        let mut path = format!("/store?prefix={prefix}&limit=500");
+        if !after.is_empty() {
+            path.push_str(&format!("&after={after}"));
+        }
+        let r = self
+            .call(Class::Lease, 0, "GET", &path, None, self.patience)
+            .await?;
+        match r.status {
+            200 => Ok(r.parse()?),
+            s => Err(StoreError::Refused(s)),
+        }
+    }
+
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        block: Duration,
+    ) -> Result<WatchAnswer, StoreError> {
+        let path = format!(
+            "/watch?prefix={prefix}&after={after}&block_ms={}",
+            block.as_millis()
+        );
+        // An outage keeps watches open: a little patience beyond the block.
+        let limit = block + self.patience;
+        let r = self
+            .call(Class::Accept, 0, "GET", &path, None, limit)
+            .await?;
+        match r.status {
+            200 => Ok(r.parse()?),
+            410 => Err(StoreError::TooOld),
+            s => Err(StoreError::Refused(s)),
+        }
+    }
+
+    pub async fn hold(&self, ttl: Duration) -> Result<u64, StoreError> {
+        let body = encode(&HoldRequest {
+            ttl_ms: ttl.as_millis() as u64,
+        })?;
+        let r = self
+            .call(Class::Lease, 0, "POST", "/holds", Some(body), self.patience)
+            .await?;
+        match r.status {
+            200 => Ok(r.parse::<Hold>()?.lease),
+            s => Err(StoreError::Refused(s)),
+        }
+    }
+
+    pub async fn extend(&self, lease: u64) -> Result<(), StoreError> {
+        let path = format!("/holds/{lease}/extend");
+        let body = Some(b"{}".to_vec());
+        let r = self
+            .call(Class::Lease, 0, "POST", &path, body, self.patience)
+            .await?;
+        match r.status {
+            200 => Ok(()),
+            404 => Err(StoreError::NoLease),
+            s => Err(StoreError::Refused(s)),
+        }
+    }
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> Result<Vec<u8>, StoreError> {
+    serde_json::to_vec(value).map_err(|e| StoreError::NoAnswer(e.to_string()))
+}
