--- a/src/admission.rs
+++ b/src/admission.rs
@@ -4,7 +4,7 @@
 //! all its tasks fit one topology domain, here a zone, else it waits; a
 //! preferred one relaxes upward and is finally admitted spread.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use serde::Serialize;
 
@@ -92,14 +92,24 @@
     part(cpus, used.cpus.0, need.cpus.0).min(part(gpus, used.gpus.0, need.gpus.0))
 }
 
-/// How many tasks the job's record can hold at once: every booked or retried
-/// task may take a range of its own, every machine and attempt a run.
-pub fn record_slots(job: &Job, value_bytes: usize) -> usize {
+/// How many of `places` the job's record can hold: every booked or retried
+/// task may need a range of its own, every machine and attempt a run.
+pub fn record_slots(job: &Job, places: &[Place], value_bytes: usize) -> usize {
     const FIXED: usize = 1024;
     const TASK: usize = 16;
     const RUN: usize = 110;
-    let held = FIXED + (job.booked() + job.retry.len()) * TASK + job.runs.len() * RUN;
-    value_bytes.saturating_sub(held) / (TASK + RUN / 4)
+    let mut size = FIXED + (job.booked() + job.retry.len()) * TASK + job.runs.len() * RUN;
+    let mut machines = HashSet::new();
+    for (n, place) in places.iter().enumerate() {
+        size += TASK;
+        if machines.insert(&place.machine) {
+            size += RUN;
+        }
+        if size > value_bytes {
+            return n;
+        }
+    }
+    places.len()
 }
 
 /// Hints for choosing among machines with room; none of them is needed.
@@ -166,6 +176,22 @@
     plan: &Plan,
     hints: &Hints,
     settings: &Settings,
+) -> Result<Vec<Place>, Wait> {
+    let mut places = find(job, spec, plan, hints, settings)?;
+    let slots = record_slots(job, &places, settings.value_bytes());
+    if slots == 0 || (spec.is_gang() && slots < places.len()) {
+        return Err(Wait::RecordFull);
+    }
+    places.truncate(slots);
+    Ok(places)
+}
+
+fn find(
+    job: &Job,
+    spec: &Spec,
+    plan: &Plan,
+    hints: &Hints,
+    settings: &Settings,
 ) -> Result<Vec<Place>, Wait> {
     let waiting = job.waiting();
     if waiting == 0 {
@@ -176,14 +202,9 @@
     };
     let gang = spec.is_gang();
     let by_team = team_slots(terms, &plan.used(&spec.team), &spec.need);
-    let by_record = record_slots(job, settings.value_bytes());
-    let most = waiting.min(by_team).min(by_record);
+    let most = waiting.min(by_team);
     if most == 0 || (gang && most < waiting) {
-        return Err(if by_team < waiting {
-            Wait::TeamLimit
-        } else {
-            Wait::RecordFull
-        });
+        return Err(Wait::TeamLimit);
     }
     let per_zone = job.per_zone();
     // What each zone can take, the one with most room for this job first.
--- a/src/model.rs
+++ b/src/model.rs
@@ -357,13 +357,8 @@
         }
         match &self.spec {
             // A gang's next attempt waits until the old one is wholly gone.
-            Some(s) if s.is_gang() => {
-                if self.runs.is_empty() {
-                    s.tasks as usize
-                } else {
-                    0
-                }
-            }
+            Some(s) if s.is_gang() && self.runs.is_empty() => s.tasks as usize,
+            Some(s) if s.is_gang() => 0,
             Some(s) => (s.tasks - self.next.min(s.tasks)) as usize + self.retry.len(),
             None => 0,
         }
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,727 @@
+//! Tables of cases for the pure decisions.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde_json::json;
+use shelfhoist::admission::{self, Hints, Plan, Wait};
+use shelfhoist::api::{Refusal, check_submission, read_submission};
+use shelfhoist::http::{Parsed, parse_request};
+use shelfhoist::machines::{EndKey, Hand, reconcile};
+use shelfhoist::model::*;
+use shelfhoist::settings::Settings;
+use shelfhoist::view::{View, job_key, machine_key, zone_key};
+use shelfhoist::wire::*;
+use tokio::time::Instant;
+
+fn settings_json() -> serde_json::Value {
+    json!({
+        "node": "n0", "location": "a", "serve_on": "127.0.0.1:1", "mesh_addr": "127.0.0.1:2",
+        "others": [{"node": "n1", "location": "b", "addr": "127.0.0.2:2"}],
+        "external": {"cloud": "127.0.0.9:1", "state": "127.0.0.9:2"},
+        "deployment": {
+            "count": 2, "zones": ["a", "b"],
+            "teams": [{"name": "t", "cpus": 8.0, "cpus_max": 16.0, "gpus": 0.0, "gpus_max": 0.0},
+                      {"name": "u", "cpus": 8.0, "cpus_max": 16.0}],
+            "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0,
+                        "gang_peer_s": 5.0, "cancel_s": 40.0},
+            "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 8.0, "txn_ops": 16},
+            "cloud": {"rps": 4.0, "list_lag_s": 10.0},
+            "machine_limits": {"cpu": 0.1, "memory_mb": 64.0, "sockets": 500},
+            "clock_off_ms": 5.0
+        }
+    })
+}
+
+fn settings() -> Settings {
+    Settings::parse(&settings_json().to_string()).expect("good settings")
+}
+
+#[test]
+fn settings_name_the_wrong_field() {
+    let cases = [
+        ("/node", json!("a b"), "node"),
+        ("/location", json!("c"), "location"),
+        ("/others/0/node", json!("n0"), "others[0].node"),
+        ("/deployment/count", json!(3), "deployment.count"),
+        ("/deployment/zones/1", json!("a"), "deployment.zones[1]"),
+        (
+            "/deployment/teams/1/name",
+            json!("t"),
+            "deployment.teams[1].name",
+        ),
+        (
+            "/deployment/teams/0/cpus_max",
+            json!(1.0),
+            "deployment.teams[0].cpus_max",
+        ),
+        (
+            "/deployment/workers/report_s",
+            json!(0.0),
+            "deployment.workers.report_s",
+        ),
+        (
+            "/deployment/workers/lease_s",
+            json!(1.5),
+            "deployment.workers.lease_s",
+        ),
+        (
+            "/deployment/workers/cancel_s",
+            json!(10.0),
+            "deployment.workers.cancel_s",
+        ),
+        (
+            "/deployment/state/txn_ops",
+            json!(1),
+            "deployment.state.txn_ops",
+        ),
+        ("/deployment/state/rps", json!(-1.0), "deployment.state.rps"),
+        ("/external/state", json!("127.0.0.9:0"), "external.state"),
+        ("/mesh_addr", json!("127.0.0.1:1"), "mesh_addr"),
+    ];
+    for (path, value, field) in cases {
+        let mut s = settings_json();
+        *s.pointer_mut(path).expect(path) = value;
+        let problem = Settings::parse(&s.to_string()).expect_err(path).to_string();
+        assert!(problem.contains(&format!("{field}:")), "{path}: {problem}");
+    }
+    let mut s = settings_json();
+    s["surprise"] = json!({"x": 1});
+    assert!(
+        Settings::parse(&s.to_string()).is_ok(),
+        "unknown fields pass"
+    );
+}
+
+fn submission() -> serde_json::Value {
+    json!({"name_id":"job-000412","lot":"x","crew":"t","cut":"gang","urgency":"normal","boards":2,
+        "vcpus":2.0,"cards":0.0,"ram_gb":4.0,"blueprint":"i","pull_gb":1.0,"grades":null,
+        "yard":null,"same_place":true,"scatter":false,"loaners":false,
+        "expect_s":10.0,"notch_s":0.0,"stow_s":0.0,"due_s":null})
+}
+
+fn machine_type(name: &str, cpus: f64, gpus: f64) -> MachineType {
+    MachineType {
+        name: name.into(),
+        cpus,
+        gpus,
+        memory_gb: 64.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.3,
+        boot_s: 20.0,
+        zones: vec!["a".into(), "b".into()],
+    }
+}
+
+fn view_with_types() -> View {
+    let mut view = View::default();
+    view.types.value.types = vec![
+        machine_type("small", 4.0, 0.0),
+        machine_type("big", 8.0, 2.0),
+    ];
+    view.loaded = true;
+    view
+}
+
+#[test]
+fn submissions_are_refused_by_their_form() {
+    for body in ["", "nonsense", "[]", "7", "null", "{}"] {
+        assert!(
+            matches!(read_submission(body.as_bytes()), Err(Refusal::Malformed(_))),
+            "{body}"
+        );
+    }
+    let bad = [
+        ("name_id", json!("job-")),
+        ("name_id", json!("task-1")),
+        ("name_id", json!(5)),
+        ("boards", json!(0)),
+        ("boards", json!(100_001)),
+        ("boards", json!(1.5)),
+        ("boards", json!(-1)),
+        ("vcpus", json!(-0.5)),
+        ("vcpus", json!("2")),
+        ("ram_gb", json!(1e300)),
+        ("cut", json!("other")),
+        ("urgency", json!(null)),
+        ("same_place", json!(1)),
+        ("grades", json!("small")),
+        ("due_s", json!(-1)),
+    ];
+    for (field, value) in bad {
+        let mut s = submission();
+        s[field] = value.clone();
+        let got = read_submission(s.to_string().as_bytes());
+        assert!(matches!(got, Err(Refusal::Malformed(_))), "{field} {value}");
+    }
+    for field in ["crew", "vcpus", "notch_s", "scatter"] {
+        let mut s = submission();
+        s.as_object_mut().expect("object").remove(field);
+        let got = read_submission(s.to_string().as_bytes());
+        assert!(matches!(got, Err(Refusal::Malformed(_))), "no {field}");
+    }
+}
+
+#[test]
+fn submissions_that_can_never_run_are_told_from_those_not_decidable() {
+    let set = settings();
+    let check = |edit: &[(&str, serde_json::Value)], view: &View| {
+        let mut s = submission();
+        for (k, v) in edit {
+            s[*k] = v.clone();
+        }
+        let s = read_submission(s.to_string().as_bytes()).expect("well formed");
+        match check_submission(&s, &set, view) {
+            Ok(_) => 201,
+            Err(Refusal::Malformed(_)) => 400,
+            Err(Refusal::Never(_)) => 422,
+            Err(Refusal::Unknown) => 503,
+        }
+    };
+    let view = view_with_types();
+    let cases: &[(&[(&str, serde_json::Value)], u16)] = &[
+        (&[], 201),
+        (&[("crew", json!("nobody"))], 422),
+        (&[("vcpus", json!(9.0))], 422),
+        (&[("cards", json!(2.0))], 201),
+        (&[("cards", json!(3.0))], 422),
+        (&[("grades", json!(["small"])), ("vcpus", json!(5.0))], 422),
+        (&[("grades", json!([]))], 422),
+        (&[("yard", json!("c"))], 422),
+        // 9 x 2 CPUs exceed the limit of 16 at once, but not for an array.
+        (&[("boards", json!(9))], 422),
+        (&[("boards", json!(9)), ("cut", json!("batch"))], 201),
+        (&[("boards", json!(9)), ("cut", json!("daemon"))], 422),
+    ];
+    for (edit, status) in cases {
+        assert_eq!(check(edit, &view), *status, "{edit:?}");
+    }
+    assert_eq!(check(&[], &View::default()), 503, "types not known yet");
+    assert_eq!(check(&[("crew", json!("nobody"))], &View::default()), 422);
+}
+
+#[test]
+fn http_requests_are_read_within_bounds() {
+    let long = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "y".repeat(9000));
+    let many = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(60));
+    let refused: &[(&str, u16)] = &[
+        ("\u{1}\u{2}\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+        ("GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (
+            "GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            400,
+        ),
+        ("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 400),
+        (
+            "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n",
+            400,
+        ),
+        ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 411),
+        (&long, 431),
+        (&many, 431),
+    ];
+    for (text, status) in refused {
+        match parse_request(text.as_bytes()) {
+            Parsed::Refuse(s, _) => assert_eq!(s, *status, "{text:.60}"),
+            other => panic!("{text:.60}: {other:?}"),
+        }
+    }
+    let text = "POST /a?b=c HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhiGET";
+    for cut in 0..text.len() - 3 {
+        assert!(
+            matches!(parse_request(&text.as_bytes()[..cut]), Parsed::Partial),
+            "{cut}"
+        );
+    }
+    match parse_request(text.as_bytes()) {
+        Parsed::Whole(r, used, keep) => {
+            assert_eq!(
+                (r.path.as_str(), r.query.as_str(), r.body.as_slice()),
+                ("/a", "b=c", &b"hi"[..])
+            );
+            assert_eq!((used, keep), (text.len() - 3, false));
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+fn spec(kind: Kind, tasks: u32, cpus: f64) -> Spec {
+    let mut s = submission();
+    s["cut"] = serde_json::to_value(kind).expect("kind");
+    s["boards"] = json!(tasks);
+    s["vcpus"] = json!(cpus);
+    let s: Submission = serde_json::from_value(s).expect("submission");
+    Spec {
+        one_zone: false,
+        ..Spec::from(&s)
+    }
+}
+
+fn plan(rooms: &[(&str, &str, f64)]) -> Plan {
+    let mut plan = Plan::default();
+    for (zone, machine, cpus) in rooms {
+        let free = Room {
+            cpus: Amount::room(*cpus),
+            gpus: Amount(0),
+            ram: Amount::room(64.0),
+        };
+        let slot = Slot {
+            kind: "small".into(),
+            spot: false,
+            free,
+        };
+        plan.zones
+            .entry(zone.to_string())
+            .or_default()
+            .machines
+            .insert(machine.to_string(), slot);
+    }
+    plan
+}
+
+/// KEP-2724, "Computing the assignment": required waits, preferred relaxes.
+#[test]
+fn gangs_fit_one_zone_or_relax() {
+    let set = settings();
+    let view = view_with_types();
+    let hints = Hints { view: &view };
+    let split = plan(&[("a", "m1", 4.0), ("b", "m2", 4.0)]);
+    let whole = plan(&[("a", "m1", 2.0), ("b", "m2", 4.0), ("b", "m3", 2.0)]);
+    let fit = |spec: &Spec, plan: &Plan| {
+        admission::fit(&Job::new(spec.clone(), 1), spec, plan, &hints, &set).map(|places| {
+            let mut zones = BTreeMap::new();
+            for p in places {
+                *zones.entry(p.zone).or_insert(0) += 1;
+            }
+            zones.into_iter().collect::<Vec<_>>()
+        })
+    };
+    let required = |s: Spec| Spec {
+        one_zone: true,
+        ..s
+    };
+    let gang = spec(Kind::Gang, 3, 2.0);
+    assert_eq!(fit(&required(gang.clone()), &split), Err(Wait::NoZone));
+    assert_eq!(
+        fit(&gang, &split),
+        Ok(vec![("a".into(), 2), ("b".into(), 1)])
+    );
+    assert_eq!(
+        fit(&required(gang.clone()), &whole),
+        Ok(vec![("b".into(), 3)])
+    );
+    // Preferred, too, stays in one zone where it can.
+    assert_eq!(fit(&gang, &whole), Ok(vec![("b".into(), 3)]));
+    assert_eq!(fit(&spec(Kind::Gang, 5, 2.0), &split), Err(Wait::NoRoom));
+    // An array takes what there is; a spread service at most half per zone.
+    assert_eq!(
+        fit(&spec(Kind::Array, 8, 2.0), &split),
+        Ok(vec![("a".into(), 2), ("b".into(), 2)])
+    );
+    let spread = Spec {
+        spread: true,
+        ..spec(Kind::Service, 3, 2.0)
+    };
+    let one = plan(&[("a", "m1", 8.0)]);
+    assert_eq!(fit(&spread, &one), Ok(vec![("a".into(), 2)]));
+    // 16 CPUs are the team's limit, whatever the room.
+    let wide = plan(&[("a", "m1", 40.0)]);
+    assert_eq!(
+        fit(&spec(Kind::Array, 20, 2.0), &wide),
+        Ok(vec![("a".into(), 8)])
+    );
+    assert_eq!(fit(&spec(Kind::Gang, 9, 2.0), &wide), Err(Wait::TeamLimit));
+}
+
+/// Rule `wrong_place`: tasks that are still somewhere bind the others, those
+/// of an old attempt too.
+#[test]
+fn old_attempts_count_for_the_place() {
+    let set = settings();
+    let view = view_with_types();
+    let hints = Hints { view: &view };
+    let plan = plan(&[("a", "m1", 8.0), ("b", "m2", 8.0)]);
+    let s = Spec {
+        one_zone: true,
+        ..spec(Kind::Array, 3, 2.0)
+    };
+    let mut job = Job::new(s.clone(), 1);
+    let task = job.take_waiting().expect("one");
+    job.book("m9", "b", 1, task);
+    let places = admission::fit(&job, &s, &plan, &hints, &set).expect("fits");
+    assert!(places.iter().all(|p| p.zone == "b"), "{places:?}");
+    let gang = spec(Kind::Gang, 2, 2.0);
+    let mut job = Job::new(gang.clone(), 1);
+    job.book("m9", "b", 1, 0);
+    assert_eq!(
+        admission::fit(&job, &gang, &plan, &hints, &set),
+        Err(Wait::OldAttempt)
+    );
+}
+
+#[test]
+fn ranges_stay_sorted_and_joined() {
+    let mut r = Ranges::default();
+    for n in [5, 3, 4, 9, 3] {
+        r.insert(n);
+    }
+    assert_eq!(r.0, vec![(3, 5), (9, 9)]);
+    assert!(r.remove(4) && !r.remove(4));
+    assert_eq!(r.0, vec![(3, 3), (5, 5), (9, 9)]);
+    assert_eq!((r.len(), r.pop_first(), r.len()), (3, Some(3), 2));
+}
+
+/// Rule `not_done`: a job is done when every task is, and a gang at its first.
+#[test]
+fn jobs_come_to_their_end() {
+    let mut array = Job::new(spec(Kind::Array, 2, 1.0), 1);
+    for _ in 0..2 {
+        let t = array.take_waiting().expect("waiting");
+        array.book("m", "a", 1, t);
+    }
+    assert!(array.release("m", 1, 0, Outcome::Done));
+    assert!(
+        !array.release("m", 1, 0, Outcome::Done),
+        "a repeat releases nothing"
+    );
+    assert!(
+        !array.release("m", 7, 1, Outcome::Done),
+        "another attempt is not this one"
+    );
+    assert!(array.release("m", 1, 1, Outcome::Lost));
+    assert!(array.is_open() && array.waiting() == 1 && array.done_count() == 1);
+    let t = array.take_waiting().expect("again");
+    array.book("m", "a", 2, t);
+    assert!(array.release("m", 2, 1, Outcome::Done));
+    assert_eq!((array.fin, array.spec.is_none()), (Final::Done, true));
+
+    let mut gang = Job::new(spec(Kind::Gang, 2, 1.0), 1);
+    gang.book("m", "a", 1, 0);
+    gang.book("n", "a", 1, 1);
+    let mut broken = gang.clone();
+    assert!(broken.release("m", 1, 0, Outcome::Lost));
+    assert!(broken.runs.iter().all(|r| r.stop) && broken.waiting() == 0);
+    assert!(broken.release("n", 1, 1, Outcome::Lost));
+    assert_eq!(broken.waiting(), 2, "whole again once all are gone");
+    assert!(gang.release("m", 1, 0, Outcome::Done));
+    assert_eq!(gang.fin, Final::Done);
+    gang.cancel();
+    assert_eq!(gang.fin, Final::Done, "final states never change");
+}
+
+/// A machine `m` under our token 5 with one booking of job-1/0, attempt 1.
+fn held(kind: Kind, edit: impl FnOnce(&mut Job)) -> View {
+    let mut view = view_with_types();
+    let mut job = Job::new(spec(kind, 1, 1.0), 1);
+    job.take_waiting();
+    job.book("m", "a", 1, 0);
+    edit(&mut job);
+    let machine = Machine {
+        holder: "n0".into(),
+        incarnation: 1,
+        token: 5,
+        life: Life::Active,
+        kind: "small".into(),
+        zone: "a".into(),
+        spot: false,
+    };
+    let set = |key: String, value: serde_json::Value| Event::Put {
+        key,
+        value,
+        version: 9,
+    };
+    view.advance(
+        vec![
+            set(job_key("job-1"), serde_json::to_value(&job).expect("job")),
+            set(
+                machine_key("m"),
+                serde_json::to_value(&machine).expect("machine"),
+            ),
+            set(zone_key("a"), json!({"m": {}})),
+        ],
+        10,
+    );
+    view
+}
+
+fn report(seq: u64, token: u64, tasks: serde_json::Value) -> Report {
+    serde_json::from_value(
+        json!({"bay":"m","endpoint":"127.0.0.1:5","grade":"small","yard":"a",
+        "loaners":false,"shift":1,"tally":seq,"baton":token,"boards":tasks}),
+    )
+    .expect("report")
+}
+
+/// Safety 2 and 3: what a report proves, and what it does not.
+#[test]
+fn only_a_newer_report_under_our_token_proves_an_end() {
+    let running = json!([{"board":"job-1/0","try":1,"stage":"running"}]);
+    let done = json!([{"board":"job-1/0","try":1,"stage":"ended","cause":"done"}]);
+    let none = json!([]);
+    type Edit = fn(&mut Hand);
+    let plain: Edit = |_| {};
+    let launched: Edit = |h| {
+        h.launched.insert(("job-1/0".into(), 1));
+    };
+    let cases: &[(&str, Kind, u64, &serde_json::Value, Edit, &str)] = &[
+        ("absent: launch", Kind::Array, 5, &none, plain, "launch"),
+        (
+            "absent array task: launch again",
+            Kind::Array,
+            5,
+            &none,
+            launched,
+            "launch",
+        ),
+        (
+            "absent gang task that was there: gone",
+            Kind::Gang,
+            5,
+            &none,
+            launched,
+            "end lost",
+        ),
+        ("running: nothing", Kind::Array, 5, &running, plain, ""),
+        (
+            "done: recorded first, not forgotten",
+            Kind::Array,
+            5,
+            &done,
+            plain,
+            "end done",
+        ),
+        (
+            "an older token proves nothing",
+            Kind::Gang,
+            4,
+            &none,
+            launched,
+            "",
+        ),
+        (
+            "a call under way: no verdict",
+            Kind::Gang,
+            5,
+            &none,
+            |h| {
+                h.launched.insert(("job-1/0".into(), 1));
+                h.in_flight = true;
+            },
+            "",
+        ),
+        (
+            "an unanswered launch may land late",
+            Kind::Gang,
+            5,
+            &none,
+            |h| {
+                h.launched.insert(("job-1/0".into(), 1));
+                h.unresolved = true;
+            },
+            "",
+        ),
+        (
+            "nor is an end released meanwhile",
+            Kind::Array,
+            5,
+            &done,
+            |h| h.unresolved = true,
+            "",
+        ),
+        (
+            "a launch in a beat answer is on its way",
+            Kind::Array,
+            5,
+            &none,
+            |h| {
+                h.offered = Some((1, 99));
+            },
+            "",
+        ),
+        (
+            "the view has not reached the claim",
+            Kind::Array,
+            5,
+            &none,
+            |h| h.claimed_at = 11,
+            "",
+        ),
+    ];
+    for (name, kind, token, tasks, edit, expected) in cases {
+        let view = held(*kind, |_| {});
+        let now = Instant::now();
+        let mut hand = Hand::new(5, 9, now);
+        hand.take(report(7, *token, (*tasks).clone()), true);
+        edit(&mut hand);
+        let plan = reconcile(
+            "m",
+            &hand,
+            &view,
+            &BTreeMap::new(),
+            Duration::from_secs(2),
+            now,
+        );
+        let mut got: Vec<String> = plan
+            .orders
+            .iter()
+            .map(|o| {
+                serde_json::to_value(o.verb)
+                    .expect("verb")
+                    .as_str()
+                    .unwrap_or("")
+                    .to_string()
+            })
+            .collect();
+        got.extend(
+            plan.ends
+                .iter()
+                .map(|(_, o)| format!("end {o:?}").to_lowercase()),
+        );
+        assert_eq!(got.join(" "), *expected, "{name}");
+    }
+}
+
+#[test]
+fn an_ended_task_is_forgotten_only_once_recorded() {
+    let done = json!([{"board":"job-1/0","try":1,"stage":"ended","cause":"done"}]);
+    let now = Instant::now();
+    let mut hand = Hand::new(5, 9, now);
+    hand.take(report(7, 5, done), true);
+    let recorded = held(Kind::Array, |j| {
+        j.release("m", 1, 0, Outcome::Done);
+    });
+    let plan = |hand: &Hand| {
+        reconcile(
+            "m",
+            hand,
+            &recorded,
+            &BTreeMap::<EndKey, Outcome>::new(),
+            Duration::from_secs(2),
+            now,
+        )
+    };
+    assert_eq!(plan(&hand).orders[0].verb, Verb::Forget);
+    hand.unresolved = true;
+    assert!(
+        plan(&hand).orders.is_empty(),
+        "a late launch would start it again"
+    );
+}
+
+#[test]
+fn older_reports_are_passed_over() {
+    let now = Instant::now();
+    let mut hand = Hand::new(5, 9, now);
+    assert!(hand.take(report(7, 5, json!([])), true));
+    assert!(!hand.take(report(7, 5, json!([])), true), "the same again");
+    assert!(!hand.take(report(6, 5, json!([])), true), "late");
+    assert!(!hand.take(report(8, 4, json!([])), true), "another token");
+    assert!(hand.take(report(8, 5, json!([])), false));
+}
+
+#[test]
+fn a_silent_lease_is_over_only_for_its_holder_throughout() {
+    let lease = Duration::from_secs(10);
+    let margin = Duration::from_secs(1);
+    let start = Instant::now();
+    let mut hand = Hand::new(5, 9, start);
+    let late = start + Duration::from_secs(12);
+    assert!(
+        !hand.lease_is_over(lease, margin, late),
+        "the token was never shown"
+    );
+    hand.take(report(7, 5, json!([])), true);
+    assert!(hand.lease_is_over(lease, margin, late));
+    assert!(
+        !hand.lease_is_over(lease, margin, start + Duration::from_secs(11)),
+        "margin"
+    );
+    hand.unresolved = true;
+    assert!(
+        !hand.lease_is_over(lease, margin, late),
+        "a launch may land late"
+    );
+    hand.unresolved = false;
+    hand.answered = start + Duration::from_secs(5);
+    assert!(!hand.lease_is_over(lease, margin, late), "renewed since");
+}
+
+#[test]
+fn the_horizon_leaves_time_for_the_lease() {
+    let s = settings();
+    let w = &s.deployment.workers;
+    let total = s.horizon_limit().as_secs_f64() + w.lease_s * 1.0005;
+    assert!(total < w.cancel_s && total > w.cancel_s * 0.95, "{total}");
+}
+
+#[test]
+fn preemption_follows_the_protocol() {
+    let with = |team: &str, priority| Spec {
+        team: team.into(),
+        priority,
+        ..spec(Kind::Array, 1, 1.0)
+    };
+    use Priority::*;
+    // (job, in guarantee, victim, victim borrows) -> may stop
+    let cases = [
+        (("t", High), false, ("t", Low), false, true),
+        (("t", Normal), false, ("u", Normal), true, false),
+        (("t", Normal), true, ("u", Normal), true, true),
+        (("t", Low), true, ("u", Production), true, true),
+        (("t", Normal), true, ("u", Normal), false, false),
+        (("t", Normal), true, ("t", Normal), true, false),
+        (("t", Low), false, ("u", High), true, false),
+    ];
+    for (job, inside, victim, borrows, expected) in cases {
+        let got = admission::may_preempt(
+            &with(job.0, job.1),
+            inside,
+            &with(victim.0, victim.1),
+            borrows,
+        );
+        assert_eq!(got, expected, "{job:?} {inside} {victim:?} {borrows}");
+    }
+}
+
+#[test]
+fn a_full_job_record_stays_within_value_kb() {
+    let set = settings();
+    let view = view_with_types();
+    let hints = Hints { view: &view };
+    let mut set_wide = set.clone();
+    set_wide.deployment.teams[0].cpus_max = 1e6;
+    let s = spec(Kind::Array, 100_000, 0.001);
+    let rooms: Vec<(String, String)> = (0..40)
+        .map(|n| ("a".into(), format!("host-{n:06}")))
+        .collect();
+    let rooms: Vec<(&str, &str, f64)> = rooms
+        .iter()
+        .map(|(z, m)| (z.as_str(), m.as_str(), 0.05))
+        .collect();
+    let mut job = Job::new(s.clone(), 1);
+    for _ in 0..20 {
+        let Ok(places) = admission::fit(&job, &s, &plan(&rooms), &hints, &set_wide) else {
+            break;
+        };
+        job.attempt += 1;
+        for p in places {
+            let t = job.take_waiting().expect("waiting");
+            job.book(&p.machine, &p.zone, job.attempt, t);
+        }
+        // Every second one ends, the rest stays scattered.
+        let ends: Vec<_> = job
+            .runs
+            .iter()
+            .flat_map(|r| r.tasks.iter().map(|t| (r.machine.clone(), r.attempt, t)))
+            .collect();
+        for (m, a, t) in ends.into_iter().step_by(2) {
+            job.release(&m, a, t, Outcome::Lost);
+        }
+        let size = serde_json::to_vec(&job).expect("job").len();
+        assert!(size <= set.value_bytes(), "{size} bytes");
+    }
+    assert!(job.attempt > 1);
+}
