--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -328,26 +328,32 @@
         set_life(node, &id, life).await;
     }
     resolve_hires(node).await;
-    if let Some((hire, offer)) = demand(node) {
+    let hires = demand(node);
+    if hires.is_empty() {
+        return;
+    }
+    let mut guards = Vec::new();
+    let mut writes = Vec::new();
+    for hire in hires {
         let id = format!(
             "{}-{:x}",
             node.name(),
             node.rng.borrow_mut().random::<u64>()
         );
         tracing::info!(
-            kind = offer.0,
-            zone = offer.1,
-            spot = offer.2,
+            kind = hire.kind,
+            zone = hire.zone,
+            spot = hire.spot,
             count = hire.count,
             "renting"
         );
         // Safety 5: the intent comes before the call, under a unique name.
-        let guards = vec![guard(hire_key(&id), 0)];
-        let writes = vec![put(hire_key(&id), &hire)];
-        match node.commit(Class::Claim, guards, writes).await {
-            Ok(_) => resolve_hires(node).await,
-            Err(error) => tracing::debug!(%error, "rental not recorded"),
-        }
+        guards.push(guard(hire_key(&id), 0));
+        writes.push(put(hire_key(&id), &hire));
+    }
+    match node.commit(Class::Claim, guards, writes).await {
+        Ok(_) => resolve_hires(node).await,
+        Err(error) => tracing::debug!(%error, "rental not recorded"),
     }
 }
 
@@ -659,13 +665,15 @@
     }
 }
 
-/// What to rent next, if anything: the first job in the queue whose tasks fit
-/// neither the free room nor what is coming decides.
-fn demand(node: &Node) -> Option<(Hire, Offer)> {
+/// What to rent: room for the jobs, in queue order, whose tasks fit neither
+/// the free room nor what is coming. Offers that are asked for more than once
+/// become one rental.
+fn demand(node: &Node) -> Vec<Hire> {
     let settings = &node.settings;
     let view = node.view.borrow();
+    let mut hires: BTreeMap<Offer, Hire> = BTreeMap::new();
     if view.types.value.types.is_empty() {
-        return None;
+        return Vec::new();
     }
     let mut plan = Plan::of(&view);
     add_coming(&mut plan, &view);
@@ -680,45 +688,80 @@
         })
         .collect();
     queue.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
-    // The seconds of work that running independent tasks leave room for soon.
+    // The work that running independent tasks leave room for soon.
     let mut turnover = running_cpus(&view);
+    let most = settings.deployment.state.txn_ops.saturating_sub(2).max(1);
     for (_, id) in queue {
-        let job = &view.jobs.get(id)?.value;
-        let spec = job.spec.as_ref()?;
+        let Some(job) = view.jobs.get(id).map(|e| &e.value) else {
+            continue;
+        };
+        let Some(spec) = &job.spec else { continue };
         let mut left = job.waiting();
-        if let Ok(places) = admission::fit(job, spec, &plan, &hints, settings) {
-            left -= places.len().min(left);
-            for p in &places {
-                plan.take(&p.zone, &p.machine, &spec.team, spec.need);
+        // Rent and fill by turns: what is rented for one task serves others.
+        let mut tries = 0;
+        loop {
+            if let Ok(places) = admission::fit(job, spec, &plan, &hints, settings) {
+                let places = &places[..places.len().min(left)];
+                left -= places.len();
+                for p in places {
+                    plan.take(&p.zone, &p.machine, &spec.team, spec.need);
+                }
             }
-        }
-        if let Some(terms) = settings.team(&spec.team) {
-            let slots = admission::team_slots(terms, &plan.used(&spec.team), &spec.need);
-            left = left.min(slots);
-        }
-        if left == 0 {
-            continue;
-        }
-        let mut wanted = left as f64;
-        if spec.kind == Kind::Array {
-            // Tasks that run one after another in the window need less room
-            // at once; what others free in that time serves too.
-            let window = 60f64.max(spec.estimate_s);
-            let cpus = spec.need.cpus.units().max(0.001);
-            wanted = wanted * spec.estimate_s.max(1.0) / window;
-            let covered = wanted.min(turnover / cpus);
-            turnover -= covered * cpus;
-            wanted -= covered;
-            if wanted < 0.5 {
-                continue;
+            if let Some(terms) = settings.team(&spec.team) {
+                let slots = admission::team_slots(terms, &plan.used(&spec.team), &spec.need);
+                left = left.min(slots);
+            }
+            tries += 1;
+            if left == 0 || tries > most {
+                break;
+            }
+            let mut wanted = left as f64;
+            if spec.kind == Kind::Array {
+                // Tasks that run one after another in the window need less
+                // room at once; what others free in that time serves too.
+                let window = 60f64.max(spec.estimate_s);
+                let cpus = spec.need.cpus.units().max(0.001);
+                wanted = wanted * spec.estimate_s.max(1.0) / window;
+                let covered = wanted.min(turnover / cpus);
+                turnover -= covered * cpus;
+                wanted -= covered;
+                if wanted < 0.5 {
+                    break;
+                }
+            }
+            let wanted = wanted.ceil().max(1.0) as usize;
+            let Some((t, offer)) = best_offer(node, &view, &hires, spec, wanted) else {
+                break;
+            };
+            let (kind, zone, spot) = offer.clone();
+            let slot = Slot {
+                kind: kind.clone(),
+                spot,
+                free: Room::of_type(t),
+            };
+            let hire = hires.entry(offer).or_insert(Hire {
+                kind: kind.clone(),
+                zone: zone.clone(),
+                spot,
+                count: 0,
+            });
+            hire.count += 1;
+            let id = format!("new/{kind}/{spot}/{}", hire.count);
+            plan.zones
+                .entry(zone)
+                .or_default()
+                .machines
+                .insert(id, slot);
+            if spec.kind == Kind::Array {
+                // The rest of its tasks follow one another in that room.
+                let room = Room::of_type(t).slots(&spec.need);
+                if room >= wanted {
+                    break;
+                }
             }
-        }
-        let wanted = wanted.ceil().max(1.0) as usize;
-        if let Some(found) = best_offer(node, &view, spec, wanted) {
-            return Some(found);
         }
     }
-    None
+    hires.into_values().take(most).collect()
 }
 
 fn running_cpus(view: &View) -> f64 {
@@ -734,10 +777,18 @@
     cpus * 0.5
 }
 
-fn best_offer(node: &Node, view: &View, spec: &Spec, wanted: usize) -> Option<(Hire, Offer)> {
+/// The offer that is cheapest for each task it would hold of those wanted.
+fn best_offer<'a>(
+    node: &Node,
+    view: &'a View,
+    hires: &BTreeMap<Offer, Hire>,
+    spec: &Spec,
+    wanted: usize,
+) -> Option<(&'a MachineType, Offer)> {
     let now = Instant::now();
     let fleet = node.fleet.borrow();
-    let mut best: Option<(f64, Offer, usize)> = None;
+    let most = node.settings.deployment.state.txn_ops as u32 - 2;
+    let mut best: Option<(f64, &MachineType, Offer)> = None;
     for t in &view.types.value.types {
         let slots = Room::of_type(t).slots(&spec.need);
         if slots == 0 || !spec.allows_type(&t.name) {
@@ -749,36 +800,20 @@
                     continue;
                 }
                 let offer = (t.name.clone(), zone.clone(), spot);
-                if fleet
-                    .refused
-                    .get(&offer)
-                    .is_some_and(|(until, _)| *until > now)
+                let refused = fleet.refused.get(&offer);
+                if refused.is_some_and(|(until, _)| *until > now)
+                    || hires.get(&offer).is_some_and(|h| h.count >= most)
                 {
                     continue;
                 }
                 let price = cost(t, spot) / slots.min(wanted) as f64;
                 if best.as_ref().is_none_or(|(p, _, _)| price < *p) {
-                    best = Some((price, offer, slots));
+                    best = Some((price, t, offer));
                 }
             }
         }
     }
-    let (_, offer, slots) = best?;
-    let most = node
-        .settings
-        .deployment
-        .state
-        .txn_ops
-        .saturating_sub(2)
-        .clamp(1, 50);
-    let count = wanted.div_ceil(slots).clamp(1, most) as u32;
-    let hire = Hire {
-        kind: offer.0.clone(),
-        zone: offer.1.clone(),
-        spot: offer.2,
-        count,
-    };
-    Some((hire, offer))
+    best.map(|(_, t, offer)| (t, offer))
 }
 
 fn cost(t: &MachineType, spot: bool) -> f64 {
--- a/src/model.rs
+++ b/src/model.rs
@@ -455,6 +455,44 @@
         true
     }
 
+    /// Marks tasks on a machine as wanted gone: all of a gang's everywhere, as
+    /// it saves only when all are told; else `count`, the latest first.
+    pub fn stop_tasks(&mut self, machine: &str, count: usize) {
+        if self.spec.as_ref().is_some_and(Spec::is_gang) {
+            for run in &mut self.runs {
+                run.stop = true;
+            }
+            return;
+        }
+        let mut left = count;
+        let mut split = Vec::new();
+        for run in self.runs.iter_mut().rev() {
+            if run.machine != machine || run.stop || left == 0 {
+                continue;
+            }
+            if run.tasks.len() <= left {
+                left -= run.tasks.len();
+                run.stop = true;
+                continue;
+            }
+            let mut part = Run {
+                tasks: Ranges::default(),
+                stop: true,
+                ..run.clone()
+            };
+            while left > 0 {
+                let Some(&(_, last)) = run.tasks.0.last() else {
+                    break;
+                };
+                run.tasks.remove(last);
+                part.tasks.insert(last);
+                left -= 1;
+            }
+            split.push(part);
+        }
+        self.runs.extend(split);
+    }
+
     /// Drops what a finished job no longer needs.
     pub fn settle(&mut self) {
         if !self.is_open() && self.runs.is_empty() {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -10,8 +10,8 @@
 use serde::Serialize;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::admission::{self, Hints, Plan, Wait};
-use crate::model::{Job, Life, Room, Spec, Team};
+use crate::admission::{self, Hints, Plan, Victim, Wait};
+use crate::model::{Job, Room, Spec, Team};
 use crate::node::{Node, guard, put};
 use crate::store::{Class, StoreError};
 use crate::view::{View, job_key, team_key, zone_key};
@@ -316,21 +316,29 @@
         let ops = settings.deployment.state.txn_ops;
         let mut guards = Vec::new();
         let mut writes = Vec::new();
-        for (victim, machine) in victims.iter().take(ops) {
-            let Some(entry) = view.jobs.get(victim) else {
+        let mut stopped: BTreeMap<&str, Job> = BTreeMap::new();
+        for victim in &victims {
+            let Some(entry) = view.jobs.get(&victim.job) else {
                 continue;
             };
-            let mut stopped = entry.value.clone();
-            let gang = stopped.spec.as_ref().is_some_and(Spec::is_gang);
-            for run in &mut stopped.runs {
-                // A gang saves only when all its tasks are told.
-                if gang || run.machine == *machine {
-                    run.stop = true;
-                }
+            if stopped.len() == ops && !stopped.contains_key(victim.job.as_str()) {
+                break;
             }
-            tracing::info!(job = victim, machine, for_job = id, "preempted");
-            guards.push(guard(job_key(victim), entry.version));
-            writes.push(put(job_key(victim), &stopped));
+            let job = stopped
+                .entry(&victim.job)
+                .or_insert_with(|| entry.value.clone());
+            tracing::info!(
+                job = victim.job,
+                machine = victim.machine,
+                tasks = victim.tasks,
+                for_job = id,
+                "preempted"
+            );
+            job.stop_tasks(&victim.machine, victim.tasks);
+        }
+        for (victim, job) in &stopped {
+            guards.push(guard(job_key(victim), view.job_version(victim)));
+            writes.push(put(job_key(victim), job));
         }
         if !writes.is_empty() {
             return Some(Batch {
@@ -356,8 +364,8 @@
     }
 }
 
-/// The least work whose end makes room for the job: one run after another,
-/// the lowest priority and the youngest first, until it fits.
+/// The least work whose end makes room for the job: one task after another,
+/// of the lowest priority and the youngest job first, until it fits.
 fn find_victims(
     node: &Node,
     view: &View,
@@ -365,7 +373,7 @@
     id: &str,
     job: &Job,
     spec: &Spec,
-) -> Option<Vec<(String, String)>> {
+) -> Option<Vec<Victim>> {
     let settings = &node.settings;
     let terms = settings.team(&spec.team)?;
     let tasks = if spec.is_gang() {
@@ -374,6 +382,11 @@
         1
     };
     let inside = admission::within_guarantee(terms, &coming.used(&spec.team), spec, tasks);
+    let borrows = |team: &str, plan: &Plan| {
+        settings
+            .team(team)
+            .is_some_and(|t| !t.guarantees(&plan.used(team)))
+    };
     let mut candidates = Vec::new();
     for (_, other) in &view.open {
         if other == id {
@@ -385,20 +398,12 @@
         let Some(victim) = &entry.value.spec else {
             continue;
         };
-        let borrows = settings
-            .team(&victim.team)
-            .is_some_and(|t| !t.guarantees(&coming.used(&victim.team)));
-        if !admission::may_preempt(spec, inside, victim, borrows) {
+        if !admission::may_preempt(spec, inside, victim, borrows(&victim.team, coming)) {
             continue;
         }
         for run in entry.value.runs.iter().filter(|r| !r.stop) {
             let slot = view.slot(&run.zone, &run.machine);
-            let usable = slot.is_some_and(|s| spec.allows(&s.kind, &run.zone, s.spot))
-                && view
-                    .machines
-                    .get(&run.machine)
-                    .is_some_and(|m| m.value.life == Life::Active);
-            if usable {
+            if slot.is_some_and(|s| spec.allows(&s.kind, &run.zone, s.spot)) {
                 let order = (victim.priority, std::cmp::Reverse(entry.value.born));
                 candidates.push((order, other, run, victim));
             }
@@ -407,33 +412,38 @@
     candidates.sort_by_key(|c| c.0);
     let hints = Hints { view };
     let mut after = coming.clone();
-    let mut victims: Vec<(String, String, String)> = Vec::new();
+    let mut victims: Vec<Victim> = Vec::new();
     for (_, other, run, victim) in candidates {
-        // Borrowed work counts as borrowed only down to the guarantee.
-        let still = settings
-            .team(&victim.team)
-            .is_some_and(|t| !t.guarantees(&after.used(&victim.team)));
-        if !admission::may_preempt(spec, inside, victim, still) {
-            continue;
-        }
-        clear(
-            &mut after,
-            &run.zone,
-            &run.machine,
-            &victim.team,
-            victim.need.times(run.tasks.len()),
-        );
-        victims.push((other.clone(), run.machine.clone(), run.zone.clone()));
-        if let Ok(places) = admission::fit(job, spec, &after, &hints, settings) {
-            // Only what was cleared where the job will be is needed.
-            let used: BTreeSet<&str> = places.iter().map(|p| p.machine.as_str()).collect();
-            return Some(
-                victims
-                    .into_iter()
-                    .filter(|(_, m, _)| used.contains(m.as_str()))
-                    .map(|(j, m, _)| (j, m))
-                    .collect(),
+        let whole = victim.is_gang();
+        let mut left = run.tasks.len();
+        while left > 0 {
+            // Borrowed work counts as borrowed only down to the guarantee.
+            if !admission::may_preempt(spec, inside, victim, borrows(&victim.team, &after)) {
+                break;
+            }
+            let n = if whole { left } else { 1 };
+            left -= n;
+            clear(
+                &mut after,
+                &run.zone,
+                &run.machine,
+                &victim.team,
+                victim.need.times(n),
             );
+            match victims.last_mut() {
+                Some(v) if v.job == *other && v.machine == run.machine => v.tasks += n,
+                _ => victims.push(Victim {
+                    job: other.clone(),
+                    machine: run.machine.clone(),
+                    tasks: n,
+                }),
+            }
+            if let Ok(places) = admission::fit(job, spec, &after, &hints, settings) {
+                // Only what was cleared where the job will be is needed.
+                let used: BTreeSet<&str> = places.iter().map(|p| p.machine.as_str()).collect();
+                victims.retain(|v| used.contains(v.machine.as_str()));
+                return Some(victims);
+            }
         }
     }
     None
