--- a/src/admission.rs
+++ b/src/admission.rs
@@ -117,55 +117,82 @@
     pub view: &'a View,
 }
 
-/// Lower is better: accelerators are kept for those that need them, then the
-/// image counts, then the tightest fit, so that other machines stay whole.
-fn rank(spec: &Spec, hints: &Hints, id: &str, slot: &Slot) -> (bool, bool, bool, i64, i64) {
+/// How many tasks of the accelerators' usual shape lose their place on this
+/// machine if `need` is taken from it. Work without accelerators is kept off
+/// them only as far as it is in the way: what they cannot use is free to it.
+fn loss(hints: &Hints, slot: &Slot, need: &Room) -> usize {
+    let gpus = hints.view.type_of(&slot.kind).map_or(0.0, |k| k.gpus);
+    if need.gpus.0 > 0 || gpus <= 0.0 {
+        return 0;
+    }
+    match &hints.view.gpu_shape {
+        Some(shape) => slot.free.slots(shape) - (slot.free - *need).slots(shape),
+        None => 1,
+    }
+}
+
+/// Lower is better. Accelerators are kept for those that need them; then a
+/// service looks for its image first, as it should run at once; then the
+/// cheaper machine, and the tightest fit, so that others stay whole.
+fn rank(spec: &Spec, hints: &Hints, id: &str, slot: &Slot) -> [i64; 6] {
     let kind = hints.view.type_of(&slot.kind);
     let gpus = kind.map_or(0.0, |k| k.gpus);
-    let needs = spec.need.gpus.0 > 0;
-    (
-        !needs && gpus > 0.0,
-        spec.spot && !slot.spot,
-        !hints.view.has_image(id, &spec.image),
-        (gpus * 1000.0) as i64 * i64::from(needs),
+    let shape_slots = match &hints.view.gpu_shape {
+        Some(shape) if gpus > 0.0 && spec.need.gpus.0 == 0 => slot.free.slots(shape),
+        _ => 0,
+    };
+    let no_image = i64::from(!hints.view.has_image(id, &spec.image));
+    let costly = i64::from(spec.spot && !slot.spot);
+    let quick = spec.kind == Kind::Service;
+    [
+        loss(hints, slot, &spec.need) as i64,
+        if quick { no_image } else { costly },
+        if quick { costly } else { no_image },
+        shape_slots as i64,
+        (gpus * 1000.0) as i64,
         slot.free.cpus.0,
-    )
+    ]
 }
 
 /// Tasks that fit a zone one by one, best machines first; at most `most`.
 fn fill_zone(spec: &Spec, name: &str, zone: &Zone, hints: &Hints, most: usize) -> Vec<Place> {
-    let mut machines: Vec<_> = zone
+    let open = |slot: &Slot| {
+        slot.free.fits(&spec.need)
+            // Independent tasks come and go: they do not stand in the way of
+            // work that needs the accelerators.
+            && (spec.kind != Kind::Array || loss(hints, slot, &spec.need) == 0)
+    };
+    let mut machines: Vec<(&String, Slot)> = zone
         .machines
         .iter()
-        .filter(|(_, s)| spec.allows(&s.kind, name, s.spot) && s.free.fits(&spec.need))
-        .map(|(id, s)| (rank(spec, hints, id, s), id, s.free.slots(&spec.need)))
+        .filter(|(_, s)| spec.allows(&s.kind, name, s.spot) && open(s))
+        .map(|(id, s)| (id, s.clone()))
         .collect();
-    machines.sort();
     let mut places = Vec::new();
-    // A service's replicas go to different machines while there are some.
-    let per_turn = if spec.kind == Kind::Service {
-        1
-    } else {
-        usize::MAX
-    };
-    loop {
-        let mut any = false;
-        for (_, id, slots) in &mut machines {
-            let n = (*slots).min(per_turn).min(most - places.len());
-            *slots -= n;
-            any |= n > 0;
-            places.extend((0..n).map(|_| Place {
+    // A service's replicas go to different machines while there are some;
+    // other tasks fill the best machine first.
+    let mut used: HashSet<&String> = HashSet::new();
+    while places.len() < most {
+        let best = machines.iter_mut().min_by_key(|(id, slot)| {
+            let again = spec.kind == Kind::Service && used.contains(id);
+            (again, rank(spec, hints, id, slot))
+        });
+        let Some((id, slot)) = best else { break };
+        used.insert(id);
+        loop {
+            places.push(Place {
                 zone: name.to_string(),
                 machine: id.to_string(),
-            }));
-            if places.len() == most {
-                return places;
+            });
+            slot.free -= spec.need;
+            let stay = spec.kind == Kind::Array && open(slot) && places.len() < most;
+            if !stay {
+                break;
             }
         }
-        if !any {
-            return places;
-        }
+        machines.retain(|(_, s)| open(s));
     }
+    places
 }
 
 /// Finds places for a job's waiting tasks: all of a gang's or none, as many
@@ -280,6 +307,21 @@
     pub born: u64,
 }
 
+/// All jobs with waiting tasks, the first to be placed first.
+pub fn queue<'a>(view: &'a View, plan: &Plan, settings: &Settings) -> Vec<&'a str> {
+    let mut queue: Vec<(Rank, &str)> = view
+        .open
+        .iter()
+        .filter_map(|(_, id)| {
+            let job = &view.jobs.get(id)?.value;
+            let spec = job.spec.as_ref()?;
+            (job.waiting() > 0).then(|| (queue_rank(job, spec, plan, settings), id.as_str()))
+        })
+        .collect();
+    queue.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
+    queue.into_iter().map(|(_, id)| id).collect()
+}
+
 pub fn queue_rank(job: &Job, spec: &Spec, plan: &Plan, settings: &Settings) -> Rank {
     let used = plan.used(&spec.team);
     let (borrows, share) = match settings.team(&spec.team) {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -42,6 +42,7 @@
     lease: Option<u64>,
     extended: Option<Instant>,
     listed_at: Option<Instant>,
+    described_at: Option<Instant>,
     types_at: Option<Instant>,
     /// The cloud is left alone until then.
     cloud_pause: Option<Instant>,
@@ -319,8 +320,51 @@
     (guards, writes)
 }
 
+/// One line a while on what is rented and how full it is, for a replay.
+fn describe(node: &Node) {
+    {
+        let mut fleet = node.fleet.borrow_mut();
+        let due = node.settings.lease();
+        if fleet.described_at.is_some_and(|t| t.elapsed() < due) {
+            return;
+        }
+        fleet.described_at = Some(Instant::now());
+    }
+    let view = node.view.borrow();
+    let mut kinds: BTreeMap<String, (usize, f64, f64)> = BTreeMap::new();
+    for (id, e) in &view.machines {
+        let m = &e.value;
+        let name = format!(
+            "{}{}{}",
+            m.kind,
+            if m.spot { "*" } else { "" },
+            if m.life == Life::Active { "" } else { "?" }
+        );
+        let entry = kinds.entry(name).or_default();
+        entry.0 += 1;
+        entry.1 += view.booked_on(id).cpus.units();
+        entry.2 += view.type_of(&m.kind).map_or(0.0, |t| t.cpus);
+    }
+    let mut waiting: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+    for (_, id) in &view.open {
+        if let Some(job) = view.jobs.get(id).map(|e| &e.value)
+            && let Some(spec) = &job.spec
+        {
+            let entry = waiting.entry(&spec.class).or_default();
+            entry.0 += job.waiting();
+            entry.1 += job.booked();
+        }
+    }
+    tracing::debug!(
+        ?kinds,
+        ?waiting,
+        "fleet (number, CPUs booked, CPUs), tasks (waiting, booked)"
+    );
+}
+
 /// One pass over the fleet.
 async fn tend(node: &Node) {
+    describe(node);
     finish_returns(node).await;
     read_list(node).await;
     for (id, life, why) in judge(node) {
@@ -678,20 +722,10 @@
     let mut plan = Plan::of(&view);
     add_coming(&mut plan, &view);
     let hints = Hints { view: &view };
-    let mut queue: Vec<(admission::Rank, &String)> = view
-        .open
-        .iter()
-        .filter_map(|(_, id)| {
-            let job = &view.jobs.get(id)?.value;
-            let spec = job.spec.as_ref()?;
-            (job.waiting() > 0).then(|| (admission::queue_rank(job, spec, &plan, settings), id))
-        })
-        .collect();
-    queue.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
     // The work that running independent tasks leave room for soon.
     let mut turnover = running_cpus(&view);
     let most = settings.deployment.state.txn_ops.saturating_sub(2).max(1);
-    for (_, id) in queue {
+    for id in admission::queue(&view, &plan, settings) {
         let Some(job) = view.jobs.get(id).map(|e| &e.value) else {
             continue;
         };
@@ -794,6 +828,10 @@
         if slots == 0 || !spec.allows_type(&t.name) {
             continue;
         }
+        if spec.kind == Kind::Array && t.gpus > 0.0 && spec.need.gpus.0 == 0 {
+            // They would stand in the way there, see `admission::fit`.
+            continue;
+        }
         for zone in &t.zones {
             for spot in [true, false] {
                 if !spec.allows(&t.name, zone, spot) {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -15,7 +15,7 @@
 use crate::node::{Node, guard, put};
 use crate::store::{Class, StoreError};
 use crate::view::{View, job_key, team_key, zone_key};
-use crate::wire::{Guard, Write};
+use crate::wire::{Guard, Kind, Write};
 
 /// A job's reason to wait, as the last round that looked at it found.
 #[derive(Debug, Clone, Copy, Serialize)]
@@ -162,27 +162,23 @@
     if ids.is_empty() {
         return None;
     }
+    let mine: BTreeSet<&str> = ids.iter().map(String::as_str).collect();
     let settings = &node.settings;
     let ops = settings.deployment.state.txn_ops;
     let mut plan = Plan::of(&view);
-    let mut queue: Vec<(admission::Rank, &str)> = ids
-        .iter()
-        .filter_map(|id| {
-            let job = &view.jobs.get(id)?.value;
-            let spec = job.spec.as_ref()?;
-            Some((
-                admission::queue_rank(job, spec, &plan, settings),
-                id.as_str(),
-            ))
-        })
-        .collect();
-    queue.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
+    // What this round books itself, for the records.
+    let mut booked = plan.clone();
     let mut jobs: BTreeMap<String, Job> = BTreeMap::new();
     let mut teams = BTreeSet::new();
     let mut zones = BTreeSet::new();
     let mut blocked = Vec::new();
     let hints = Hints { view: &view };
-    for (_, id) in queue {
+    // All that wait stand in one queue, whoever places them: what goes first
+    // elsewhere keeps its room here, too.
+    for id in admission::queue(&view, &plan, settings) {
+        if rounds.held.get(id).is_some_and(|h| h.1 > now) {
+            continue;
+        }
         let Some(entry) = view.jobs.get(id) else {
             continue;
         };
@@ -191,6 +187,7 @@
         };
         let places = match admission::fit(&entry.value, spec, &plan, &hints, settings) {
             Ok(places) => places,
+            Err(_) if !mine.contains(id) => continue,
             Err(why) => {
                 note(node, id, why, now);
                 if matches!(why, Wait::NoRoom | Wait::NoZone | Wait::Spread) {
@@ -199,6 +196,12 @@
                 continue;
             }
         };
+        if !mine.contains(id) {
+            for p in &places {
+                plan.take(&p.zone, &p.machine, &spec.team, spec.need);
+            }
+            continue;
+        }
         let new_zones = places
             .iter()
             .map(|p| &p.zone)
@@ -214,6 +217,7 @@
         book(&mut job, spec, &places);
         for place in &places {
             plan.take(&place.zone, &place.machine, &spec.team, spec.need);
+            booked.take(&place.zone, &place.machine, &spec.team, spec.need);
             zones.insert(place.zone.clone());
         }
         teams.insert(spec.team.clone());
@@ -236,12 +240,12 @@
     }
     for name in &teams {
         guards.push(guard(team_key(name), view.team_version(name)));
-        let used = plan.used(name);
+        let used = booked.used(name);
         writes.push(put(team_key(name), &Team { used }));
     }
     for name in &zones {
         guards.push(guard(zone_key(name), view.zone_version(name)));
-        writes.push(put(zone_key(name), &plan.zones[name]));
+        writes.push(put(zone_key(name), &booked.zones[name]));
     }
     Some(Batch {
         jobs: jobs.into_keys().collect(),
@@ -376,12 +380,16 @@
 ) -> Option<Vec<Victim>> {
     let settings = &node.settings;
     let terms = settings.team(&spec.team)?;
+    // Independent tasks that give way to independent tasks lose more than
+    // they gain: such work ends soon and makes room by itself. They stop
+    // lower priorities only.
     let tasks = if spec.is_gang() {
         spec.tasks as usize
     } else {
         1
     };
-    let inside = admission::within_guarantee(terms, &coming.used(&spec.team), spec, tasks);
+    let inside = spec.kind != Kind::Array
+        && admission::within_guarantee(terms, &coming.used(&spec.team), spec, tasks);
     let borrows = |team: &str, plan: &Plan| {
         settings
             .team(team)
--- a/src/view.rs
+++ b/src/view.rs
@@ -74,6 +74,9 @@
     /// Images that have been sent to a machine, the latest last. Memory only:
     /// a hint for placing, rebuilt as bookings are seen.
     images: HashMap<String, Vec<String>>,
+    /// What the latest job that needs accelerators takes per task: the shape
+    /// for which machines with accelerators are kept free. A hint, too.
+    pub gpu_shape: Option<Room>,
     pub changes: Changes,
 }
 
@@ -112,6 +115,7 @@
         changes.machines.extend(self.machines.keys().cloned());
         *self = View {
             images,
+            gpu_shape: self.gpu_shape,
             changes,
             loaded: true,
             revision,
@@ -246,6 +250,11 @@
         if job.is_open() {
             self.open.insert((job.born, id.to_string()));
         }
+        if let Some(spec) = &job.spec
+            && spec.need.gpus.0 > 0
+        {
+            self.gpu_shape = Some(spec.need);
+        }
         for run in &job.runs {
             self.bookings
                 .entry(run.machine.clone())
