--- a/src/admission.rs
+++ b/src/admission.rs
@@ -149,50 +149,126 @@
         if quick { no_image } else { costly },
         if quick { costly } else { no_image },
         shape_slots as i64,
-        (gpus * 1000.0) as i64,
+        // Of two places in the way, the one among more accelerators.
+        if spec.need.gpus.0 > 0 { 1 } else { -1 } * (gpus * 1000.0) as i64,
         slot.free.cpus.0,
     ]
 }
 
-/// Tasks that fit a zone one by one, best machines first; at most `most`.
-fn fill_zone(spec: &Spec, name: &str, zone: &Zone, hints: &Hints, most: usize) -> Vec<Place> {
-    let open = |slot: &Slot| {
-        slot.free.fits(&spec.need)
-            // Independent tasks come and go: they do not stand in the way of
-            // work that needs the accelerators.
-            && (spec.kind != Kind::Array || loss(hints, slot, &spec.need) == 0)
-    };
-    let mut machines: Vec<(&String, Slot)> = zone
-        .machines
-        .iter()
-        .filter(|(_, s)| spec.allows(&s.kind, name, s.spot) && open(s))
-        .map(|(id, s)| (id, s.clone()))
-        .collect();
-    let mut places = Vec::new();
-    // A service's replicas go to different machines while there are some;
-    // other tasks fill the best machine first.
-    let mut used: HashSet<&String> = HashSet::new();
-    while places.len() < most {
-        let best = machines.iter_mut().min_by_key(|(id, slot)| {
-            let again = spec.kind == Kind::Service && used.contains(id);
-            (again, rank(spec, hints, id, slot))
-        });
-        let Some((id, slot)) = best else { break };
-        used.insert(id);
-        loop {
-            places.push(Place {
-                zone: name.to_string(),
-                machine: id.to_string(),
-            });
-            slot.free -= spec.need;
-            let stay = spec.kind == Kind::Array && open(slot) && places.len() < most;
-            if !stay {
+/// How far work without accelerators may stand in their way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Care {
+    /// Not at all.
+    Strict,
+    /// If there is no other place.
+    Lax,
+}
+
+/// Where tasks may go, and how many of this job each zone may still take.
+struct Field<'a> {
+    spec: &'a Spec,
+    hints: &'a Hints<'a>,
+    care: Care,
+    machines: Vec<(&'a String, &'a String, Slot)>,
+    caps: BTreeMap<&'a String, usize>,
+}
+
+impl<'a> Field<'a> {
+    fn open(&self, slot: &Slot) -> bool {
+        // Independent tasks come and go: they never stand in the way of work
+        // that needs the accelerators.
+        let strict = self.care == Care::Strict || self.spec.kind == Kind::Array;
+        slot.free.fits(&self.spec.need) && (!strict || loss(self.hints, slot, &self.spec.need) == 0)
+    }
+
+    fn of(
+        zones: impl Iterator<Item = (&'a String, &'a Zone, usize)>,
+        spec: &'a Spec,
+        hints: &'a Hints<'a>,
+        care: Care,
+    ) -> Self {
+        let mut field = Field {
+            spec,
+            hints,
+            care,
+            machines: Vec::new(),
+            caps: BTreeMap::new(),
+        };
+        for (name, zone, cap) in zones {
+            field.caps.insert(name, cap);
+            for (id, slot) in &zone.machines {
+                if spec.allows(&slot.kind, name, slot.spot) && field.open(slot) {
+                    field.machines.push((name, id, slot.clone()));
+                }
+            }
+        }
+        field
+    }
+
+    /// Tasks that fit one by one, best machines first; at most `most`. Also
+    /// tells how good the places are: lower is better.
+    fn fill(mut self, most: usize) -> (Vec<Place>, [i64; 6]) {
+        let mut places = Vec::new();
+        let mut sum = [0; 6];
+        let service = self.spec.kind == Kind::Service;
+        // Replicas go to different zones and machines while there are some;
+        // other tasks fill the best machine first.
+        let mut in_zone: HashMap<&String, i64> = HashMap::new();
+        let mut on_machine: HashMap<&String, i64> = HashMap::new();
+        while places.len() < most {
+            let caps = &self.caps;
+            let best = self
+                .machines
+                .iter_mut()
+                .filter(|(zone, _, _)| caps[zone] > 0)
+                .map(|(zone, id, slot)| {
+                    let rank = rank(self.spec, self.hints, id, slot);
+                    let near = if service {
+                        let count = |m: &HashMap<&String, i64>, k| m.get(k).copied().unwrap_or(0);
+                        (count(&in_zone, zone), count(&on_machine, id))
+                    } else {
+                        (0, 0)
+                    };
+                    ((rank[0], near, rank), zone, id, slot)
+                })
+                .min_by_key(|(key, _, _, _)| *key);
+            let Some(((_, _, rank), zone, id, slot)) = best else {
                 break;
+            };
+            for (s, r) in sum.iter_mut().zip(rank) {
+                *s += r;
+            }
+            *in_zone.entry(zone).or_default() += 1;
+            *on_machine.entry(id).or_default() += 1;
+            let (zone, id) = (*zone, *id);
+            // One machine's room is used up before the next is looked at,
+            // but for replicas.
+            let mut free = slot.clone();
+            loop {
+                places.push(Place {
+                    zone: zone.clone(),
+                    machine: id.clone(),
+                });
+                free.free -= self.spec.need;
+                if let Some(cap) = self.caps.get_mut(zone) {
+                    *cap -= 1;
+                }
+                let room = places.len() < most && self.caps[zone] > 0 && self.open(&free);
+                if service || !room {
+                    break;
+                }
+            }
+            let open = self.open(&free);
+            match self.machines.iter().position(|(_, m, _)| *m == id) {
+                Some(at) if open => self.machines[at].2 = free,
+                Some(at) => {
+                    self.machines.swap_remove(at);
+                }
+                None => {}
             }
         }
-        machines.retain(|(_, s)| open(s));
+        (places, sum)
     }
-    places
 }
 
 /// Finds places for a job's waiting tasks: all of a gang's or none, as many
@@ -203,8 +279,9 @@
     plan: &Plan,
     hints: &Hints,
     settings: &Settings,
+    care: Care,
 ) -> Result<Vec<Place>, Wait> {
-    let mut places = find(job, spec, plan, hints, settings)?;
+    let mut places = find(job, spec, plan, hints, settings, care)?;
     let slots = record_slots(job, &places, settings.value_bytes());
     if slots == 0 || (spec.is_gang() && slots < places.len()) {
         return Err(Wait::RecordFull);
@@ -219,6 +296,7 @@
     plan: &Plan,
     hints: &Hints,
     settings: &Settings,
+    care: Care,
 ) -> Result<Vec<Place>, Wait> {
     let waiting = job.waiting();
     if waiting == 0 {
@@ -234,76 +312,54 @@
         return Err(Wait::TeamLimit);
     }
     let per_zone = job.per_zone();
-    // What each zone can take, the one with most room for this job first.
-    let mut found: Vec<(String, Vec<Place>)> = Vec::new();
-    let mut capped = false;
-    for (name, zone) in &plan.zones {
-        if spec.one_zone && per_zone.keys().any(|z| z != name) {
-            // Tasks that are still elsewhere bind the others to their zone.
-            continue;
-        }
-        let here = per_zone.get(name.as_str()).copied().unwrap_or(0);
-        let cap = spec.zone_cap().saturating_sub(here);
-        capped |= cap < most;
-        let places = fill_zone(spec, name, zone, hints, most.min(cap));
-        if !places.is_empty() {
-            found.push((name.clone(), places));
-        }
-    }
-    if found.is_empty() {
-        return Err(if capped { Wait::Spread } else { Wait::NoRoom });
-    }
-    found.sort_by_key(|(_, places)| std::cmp::Reverse(places.len()));
-    if gang {
-        if let Some((_, places)) = found.iter().find(|(_, p)| p.len() == waiting) {
-            return Ok(places.clone());
+    // Tasks that are still elsewhere bind a job of one zone to theirs.
+    let zones: Vec<(&String, &Zone, usize)> = plan
+        .zones
+        .iter()
+        .filter(|(name, _)| !spec.one_zone || per_zone.keys().all(|z| z == name))
+        .map(|(name, zone)| {
+            let here = per_zone.get(name.as_str()).copied().unwrap_or(0);
+            (name, zone, spec.zone_cap().saturating_sub(here))
+        })
+        .collect();
+    if gang || spec.one_zone {
+        // KEP-2724: one domain that takes them all; the best such one.
+        let mut found: Vec<(Vec<Place>, [i64; 6])> = zones
+            .iter()
+            .map(|z| Field::of(std::iter::once(*z), spec, hints, care).fill(most))
+            .filter(|(places, _)| !places.is_empty())
+            .collect();
+        found.sort_by_key(|(places, rank)| (std::cmp::Reverse(places.len()), *rank));
+        if let Some((places, _)) = found.into_iter().next()
+            && (!gang || places.len() == waiting)
+        {
+            return Ok(places);
         }
         if spec.one_zone {
-            return Err(Wait::NoZone);
+            return Err(if gang { Wait::NoZone } else { Wait::NoRoom });
         }
     }
-    if spec.one_zone {
-        // Independent tasks bound to one zone: the one that takes most.
-        return Ok(found.swap_remove(0).1);
-    }
-    let places: Vec<Place> = if spec.kind == Kind::Service {
-        interleave(found, most)
-    } else {
-        found.into_iter().flat_map(|(_, p)| p).take(most).collect()
-    };
-    if gang && places.len() < waiting {
-        return Err(Wait::NoRoom);
+    // Relaxed: spread over the zones.
+    let capped = zones.iter().any(|(_, _, cap)| *cap < most);
+    let (places, _) = Field::of(zones.into_iter(), spec, hints, care).fill(most);
+    if places.is_empty() || (gang && places.len() < waiting) {
+        return Err(if capped { Wait::Spread } else { Wait::NoRoom });
     }
     Ok(places)
 }
 
-/// Takes from the zones in turn, so that no zone's loss takes all replicas.
-fn interleave(found: Vec<(String, Vec<Place>)>, most: usize) -> Vec<Place> {
-    let mut zones: Vec<_> = found.into_iter().map(|(_, p)| p.into_iter()).collect();
-    let mut places = Vec::new();
-    loop {
-        let before = places.len();
-        for zone in &mut zones {
-            if places.len() < most
-                && let Some(p) = zone.next()
-            {
-                places.push(p);
-            }
-        }
-        if places.len() == before {
-            return places;
-        }
-    }
-}
-
 /// A job's place in the queue: lower goes first.
 #[derive(Debug, Clone, PartialEq, PartialOrd)]
 pub struct Rank {
+    /// Room has been cleared for it already.
+    pub waits_for_room: bool,
     /// Work that fits its team's guarantee goes before borrowed room.
     pub borrows: bool,
     pub priority: std::cmp::Reverse<Priority>,
     /// The team's use over its guarantee.
     pub share: f64,
+    /// Of teams that are as well off, the work that is soonest over.
+    pub work: f64,
     pub born: u64,
 }
 
@@ -322,6 +378,9 @@
     queue.into_iter().map(|(_, id)| id).collect()
 }
 
+/// Teams whose use over guarantee differs by less than a step are as well off.
+const SHARE_STEPS: f64 = 4.0;
+
 pub fn queue_rank(job: &Job, spec: &Spec, plan: &Plan, settings: &Settings) -> Rank {
     let used = plan.used(&spec.team);
     let (borrows, share) = match settings.team(&spec.team) {
@@ -342,10 +401,17 @@
         }
         None => (true, f64::MAX),
     };
+    let left = if spec.is_gang() || spec.kind == Kind::Service {
+        0.0
+    } else {
+        job.waiting() as f64 * spec.estimate_s * spec.need.cpus.units()
+    };
     Rank {
+        waits_for_room: !job.cleared,
         borrows,
         priority: std::cmp::Reverse(spec.priority),
-        share,
+        share: (share * SHARE_STEPS).floor(),
+        work: left,
         born: job.born,
     }
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use tokio::time::{Instant, sleep};
 
-use crate::admission::{self, Hints, Plan};
+use crate::admission::{self, Care, Hints, Plan};
 use crate::http::Response;
 use crate::model::{Hire, Life, Machine, Renter, Room, Slot, Spec, Types};
 use crate::node::{Node, guard, put};
@@ -734,7 +734,7 @@
         // Rent and fill by turns: what is rented for one task serves others.
         let mut tries = 0;
         loop {
-            if let Ok(places) = admission::fit(job, spec, &plan, &hints, settings) {
+            if let Ok(places) = admission::fit(job, spec, &plan, &hints, settings, Care::Lax) {
                 let places = &places[..places.len().min(left)];
                 left -= places.len();
                 for p in places {
--- a/src/model.rs
+++ b/src/model.rs
@@ -318,6 +318,10 @@
     pub retry: Ranges,
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub runs: Vec<Run>,
+    /// Work has been stopped for it: it goes first, or the room that was
+    /// cleared would go to whoever looks next.
+    #[serde(rename = "c", default, skip_serializing_if = "is_false")]
+    pub cleared: bool,
     /// Failures in a row, for the back-off.
     #[serde(rename = "e", default, skip_serializing_if = "is_zero")]
     pub errors: u32,
@@ -338,6 +342,7 @@
             next: 0,
             retry: Ranges::default(),
             runs: Vec::new(),
+            cleared: false,
             errors: 0,
         }
     }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::admission::{self, Hints, Plan, Victim, Wait};
+use crate::admission::{self, Care, Hints, Plan, Victim, Wait};
 use crate::model::{Job, Room, Spec, Team};
 use crate::node::{Node, guard, put};
 use crate::store::{Class, StoreError};
@@ -172,7 +172,6 @@
     let mut teams = BTreeSet::new();
     let mut zones = BTreeSet::new();
     let mut blocked = Vec::new();
-    let hints = Hints { view: &view };
     // All that wait stand in one queue, whoever places them: what goes first
     // elsewhere keeps its room here, too.
     for id in admission::queue(&view, &plan, settings) {
@@ -185,7 +184,7 @@
         let Some(spec) = &entry.value.spec else {
             continue;
         };
-        let places = match admission::fit(&entry.value, spec, &plan, &hints, settings) {
+        let places = match place(node, &view, &plan, id, &entry.value, spec) {
             Ok(places) => places,
             Err(_) if !mine.contains(id) => continue,
             Err(why) => {
@@ -254,8 +253,48 @@
     })
 }
 
+/// Places a job. A service or gang that would stand in the way of work that
+/// needs accelerators rather has lower work stopped elsewhere, if it may.
+fn place(
+    node: &Node,
+    view: &View,
+    plan: &Plan,
+    id: &str,
+    job: &Job,
+    spec: &Spec,
+) -> Result<Vec<admission::Place>, Wait> {
+    let hints = Hints { view };
+    let settings = &node.settings;
+    let strict = admission::fit(job, spec, plan, &hints, settings, Care::Strict);
+    if strict.is_ok() || spec.kind == Kind::Array || spec.need.gpus.0 > 0 {
+        return strict;
+    }
+    let lax = admission::fit(job, spec, plan, &hints, settings, Care::Lax);
+    let coming = with_stops(view, plan);
+    let clears = admission::fit(job, spec, &coming, &hints, settings, Care::Strict).is_ok()
+        || find_victims(node, view, &coming, id, job, spec).is_some();
+    if clears { strict } else { lax }
+}
+
+/// The plan with the room that is being cleared counted as free.
+fn with_stops(view: &View, plan: &Plan) -> Plan {
+    let mut coming = plan.clone();
+    for (_, id) in &view.open {
+        let Some(job) = view.jobs.get(id).map(|e| &e.value) else {
+            continue;
+        };
+        let Some(spec) = &job.spec else { continue };
+        for run in job.runs.iter().filter(|r| r.stop) {
+            let room = spec.need.times(run.tasks.len());
+            clear(&mut coming, &run.zone, &run.machine, &spec.team, room);
+        }
+    }
+    coming
+}
+
 fn book(job: &mut Job, spec: &Spec, places: &[admission::Place]) {
     job.attempt += 1;
+    job.cleared = false;
     let attempt = job.attempt;
     for (i, place) in places.iter().enumerate() {
         let task = if spec.is_gang() {
@@ -285,22 +324,7 @@
         .preempted
         .retain(|_, at| now.saturating_duration_since(*at) < patience);
     // The room that is being cleared already counts as coming.
-    let mut coming = plan.clone();
-    for (_, id) in &view.open {
-        let Some(job) = view.jobs.get(id).map(|e| &e.value) else {
-            continue;
-        };
-        let Some(spec) = &job.spec else { continue };
-        for run in job.runs.iter().filter(|r| r.stop) {
-            clear(
-                &mut coming,
-                &run.zone,
-                &run.machine,
-                &spec.team,
-                spec.need.times(run.tasks.len()),
-            );
-        }
-    }
+    let coming = with_stops(view, plan);
     let hints = Hints { view };
     for id in blocked {
         if rounds.preempted.contains_key(id) {
@@ -310,7 +334,7 @@
             continue;
         };
         let Some(spec) = &job.spec else { continue };
-        if admission::fit(job, spec, &coming, &hints, settings).is_ok() {
+        if admission::fit(job, spec, &coming, &hints, settings, Care::Strict).is_ok() {
             continue;
         }
         let Some(victims) = find_victims(node, view, &coming, id, job, spec) else {
@@ -340,6 +364,15 @@
             );
             job.stop_tasks(&victim.machine, victim.tasks);
         }
+        if let Some(entry) = view.jobs.get(id)
+            && !entry.value.cleared
+            && stopped.len() < ops
+        {
+            let mut job = entry.value.clone();
+            job.cleared = true;
+            guards.push(guard(job_key(id), entry.version));
+            writes.push(put(job_key(id), &job));
+        }
         for (victim, job) in &stopped {
             guards.push(guard(job_key(victim), view.job_version(victim)));
             writes.push(put(job_key(victim), job));
@@ -446,7 +479,7 @@
                     tasks: n,
                 }),
             }
-            if let Ok(places) = admission::fit(job, spec, &after, &hints, settings) {
+            if let Ok(places) = admission::fit(job, spec, &after, &hints, settings, Care::Strict) {
                 // Only what was cleared where the job will be is needed.
                 let used: BTreeSet<&str> = places.iter().map(|p| p.machine.as_str()).collect();
                 victims.retain(|v| used.contains(v.machine.as_str()));
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use shelfhoist::admission::{self, Hints, Plan, Wait};
+use shelfhoist::admission::{self, Care, Hints, Plan, Wait};
 use shelfhoist::api::{Refusal, check_submission, read_submission};
 use shelfhoist::http::{Parsed, parse_request};
 use shelfhoist::machines::{EndKey, Hand, reconcile};
@@ -291,7 +291,15 @@
     let split = plan(&[("a", "m1", 4.0), ("b", "m2", 4.0)]);
     let whole = plan(&[("a", "m1", 2.0), ("b", "m2", 4.0), ("b", "m3", 2.0)]);
     let fit = |spec: &Spec, plan: &Plan| {
-        admission::fit(&Job::new(spec.clone(), 1), spec, plan, &hints, &set).map(|places| {
+        admission::fit(
+            &Job::new(spec.clone(), 1),
+            spec,
+            plan,
+            &hints,
+            &set,
+            Care::Lax,
+        )
+        .map(|places| {
             let mut zones = BTreeMap::new();
             for p in places {
                 *zones.entry(p.zone).or_insert(0) += 1;
@@ -351,13 +359,13 @@
     let mut job = Job::new(s.clone(), 1);
     let task = job.take_waiting().expect("one");
     job.book("m9", "b", 1, task);
-    let places = admission::fit(&job, &s, &plan, &hints, &set).expect("fits");
+    let places = admission::fit(&job, &s, &plan, &hints, &set, Care::Lax).expect("fits");
     assert!(places.iter().all(|p| p.zone == "b"), "{places:?}");
     let gang = spec(Kind::Gang, 2, 2.0);
     let mut job = Job::new(gang.clone(), 1);
     job.book("m9", "b", 1, 0);
     assert_eq!(
-        admission::fit(&job, &gang, &plan, &hints, &set),
+        admission::fit(&job, &gang, &plan, &hints, &set, Care::Lax),
         Err(Wait::OldAttempt)
     );
 }
@@ -703,7 +711,8 @@
         .collect();
     let mut job = Job::new(s.clone(), 1);
     for _ in 0..20 {
-        let Ok(places) = admission::fit(&job, &s, &plan(&rooms), &hints, &set_wide) else {
+        let Ok(places) = admission::fit(&job, &s, &plan(&rooms), &hints, &set_wide, Care::Lax)
+        else {
             break;
         };
         job.attempt += 1;
