--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -17,7 +17,7 @@
 use crate::model::{Hire, Life, Machine, Renter, Room, Slot, Spec, Types};
 use crate::node::{Node, guard, put};
 use crate::store::{Class, StoreError};
-use crate::view::{FLEET_KEY, TYPES_KEY, View, hire_key, job_key, machine_key, zone_key};
+use crate::view::{FLEET_KEY, TYPES_KEY, View, hire_key, job_key, machine_key, node_key, zone_key};
 use crate::wire::{
     Guard, Kind, ListedStage, MachineList, MachineNames, MachineType, MachineTypes, RentRequest,
     Report, Write,
@@ -113,58 +113,75 @@
     String::from_utf8_lossy(&r.body).contains("no capacity")
 }
 
-/// Keeps the lease under which this controller rents, or waits for it.
+/// Keeps this controller's state lease, the key that says it is up, and, when
+/// nobody has it, the key that says who rents.
 async fn keep_lease(node: &Node) -> Result<(), StoreError> {
-    let ttl = node.settings.lease() / 3;
+    let ttl = node.settings.lease() / 2;
     let held = node.fleet.borrow().lease;
-    match held {
-        Some(lease) => {
-            let due = node
-                .fleet
-                .borrow()
-                .extended
-                .is_none_or(|t| t.elapsed() > ttl / 3);
-            if due {
-                match node.store.extend(lease).await {
-                    Ok(()) => node.fleet.borrow_mut().extended = Some(Instant::now()),
-                    Err(StoreError::NoLease) => {
-                        tracing::info!("no longer the renter");
-                        node.fleet.borrow_mut().lease = None;
-                    }
-                    Err(e) => return Err(e),
-                }
-            }
-            let lost = node
-                .view
-                .borrow()
-                .fleet
-                .as_ref()
-                .is_some_and(|f| f.value.incarnation != node.incarnation);
-            if lost {
+    let Some(lease) = held else {
+        let lease = node.store.hold(ttl).await?;
+        let mut fleet = node.fleet.borrow_mut();
+        fleet.lease = Some(lease);
+        fleet.extended = Some(Instant::now());
+        return Ok(());
+    };
+    let due = node
+        .fleet
+        .borrow()
+        .extended
+        .is_none_or(|t| t.elapsed() > ttl / 4);
+    if due {
+        match node.store.extend(lease).await {
+            Ok(()) => node.fleet.borrow_mut().extended = Some(Instant::now()),
+            Err(StoreError::NoLease) => {
+                tracing::info!("the state lease has run out");
                 node.fleet.borrow_mut().lease = None;
+                return Ok(());
             }
+            Err(e) => return Err(e),
         }
-        None if node.view.borrow().fleet.is_none() => {
-            let lease = node.store.hold(ttl).await?;
-            let renter = Renter {
-                node: node.name().to_string(),
-                incarnation: node.incarnation,
-            };
-            let write = Write::Put {
-                key: FLEET_KEY.to_string(),
-                value: serde_json::to_value(&renter).unwrap_or_default(),
-                lease: Some(lease),
-            };
-            let guards = vec![guard(FLEET_KEY.to_string(), 0)];
-            node.commit(Class::Lease, guards, vec![write]).await?;
-            tracing::info!("renting from now on");
-            let mut fleet = node.fleet.borrow_mut();
-            fleet.lease = Some(lease);
-            fleet.extended = Some(Instant::now());
+    }
+    let me = Renter {
+        node: node.name().to_string(),
+        incarnation: node.incarnation,
+    };
+    let mut guards = Vec::new();
+    let mut writes = Vec::new();
+    let mut sign = |key: String, version: u64| {
+        guards.push(guard(key.clone(), version));
+        writes.push(Write::Put {
+            key,
+            value: serde_json::to_value(&me).unwrap_or_default(),
+            lease: Some(lease),
+        });
+    };
+    {
+        let view = node.view.borrow();
+        match view.nodes.get(node.name()) {
+            Some(e) if e.value == me => {}
+            other => sign(node_key(node.name()), other.map_or(0, |e| e.version)),
+        }
+        if view.fleet.is_none() {
+            sign(FLEET_KEY.to_string(), 0);
+        }
+    }
+    if writes.is_empty() {
+        return Ok(());
+    }
+    let rents = writes.len() > 1 || guards.iter().any(|g| g.key == FLEET_KEY);
+    match node.commit(Class::Lease, guards, writes).await {
+        Ok(_) => {
+            if rents {
+                tracing::info!("renting from now on");
+            }
+            Ok(())
+        }
+        Err(StoreError::NoLease) => {
+            node.fleet.borrow_mut().lease = None;
+            Ok(())
         }
-        None => {}
+        Err(e) => Err(e),
     }
-    Ok(())
 }
 
 /// The renter reads the machine types and keeps them in the state, where
@@ -215,7 +232,10 @@
             tracing::debug!(%error, "renter's lease");
             continue;
         }
-        drain_recalled(&node).await;
+        if node.has_state() {
+            drain_recalled(&node).await;
+            send_away(&node, judge_own(&node)).await;
+        }
         if !node.is_renter() || !node.has_state() {
             continue;
         }
@@ -362,15 +382,20 @@
     );
 }
 
+async fn send_away(node: &Node, leaving: Vec<(String, Life, &'static str)>) {
+    for (id, life, why) in leaving {
+        if set_life(node, &id, life).await {
+            tracing::info!(machine = id, ?life, why, "leaves service");
+        }
+    }
+}
+
 /// One pass over the fleet.
 async fn tend(node: &Node) {
     describe(node);
     finish_returns(node).await;
     read_list(node).await;
-    for (id, life, why) in judge(node) {
-        tracing::info!(machine = id, ?life, why, "leaves service");
-        set_life(node, &id, life).await;
-    }
+    send_away(node, judge(node)).await;
     resolve_hires(node).await;
     let hires = demand(node);
     if hires.is_empty() {
@@ -612,48 +637,70 @@
     }
 }
 
-/// Which machines should leave, and why.
-fn judge(node: &Node) -> Vec<(String, Life, &'static str)> {
+/// Machines held by this controller that should leave, and why. Only the
+/// holder knows when a machine was last heard: what another controller has
+/// not told is no sign of silence.
+fn judge_own(node: &Node) -> Vec<(String, Life, &'static str)> {
     let now = Instant::now();
     let view = node.view.borrow();
     let hands = node.hands.borrow();
-    let peers = node.peers.borrow();
+    let limit = node.settings.lease();
+    let mut leaving = Vec::new();
+    for (id, hand) in hands.iter() {
+        let life = match view.machines.get(id) {
+            Some(m) if m.value.token == hand.token && m.value.incarnation == node.incarnation => {
+                m.value.life
+            }
+            _ => continue,
+        };
+        if !matches!(life, Life::Active | Life::Draining) {
+            continue;
+        }
+        if now.saturating_duration_since(hand.heard) > limit {
+            leaving.push((id.clone(), Life::Returning, "silent"));
+        } else if life == Life::Active && hand.failed_jobs.len() >= 2 {
+            leaving.push((
+                id.clone(),
+                Life::Draining,
+                "fails the tasks of several jobs",
+            ));
+        }
+    }
+    leaving
+}
+
+/// Machines that the renter sends away, and why.
+fn judge(node: &Node) -> Vec<(String, Life, &'static str)> {
+    let now = Instant::now();
+    let view = node.view.borrow();
     let mut fleet = node.fleet.borrow_mut();
-    let lease = node.settings.lease();
+    let orphaned = node.settings.lease() * 2;
     let mut leaving = Vec::new();
-    // Room that nobody waits for may go; while jobs wait for room it stays.
     for (id, entry) in &view.machines {
         let m = &entry.value;
-        let first = *fleet.first_seen.entry(id.clone()).or_insert(now);
         let boot = view.type_of(&m.kind).map_or(60.0, |t| t.boot_s.max(10.0));
         match m.life {
             Life::Booting => {
+                let first = *fleet.first_seen.entry(id.clone()).or_insert(now);
                 if now - first > Duration::from_secs_f64(boot * 4.0) {
                     leaving.push((id.clone(), Life::Returning, "never came up"));
                 }
             }
             Life::Active | Life::Draining => {
-                let heard = peers
-                    .heard(node, id, now)
-                    .or_else(|| hands.get(id).map(|h| h.heard))
-                    .unwrap_or(first)
-                    .max(node.started);
-                let silent = now.saturating_duration_since(heard);
-                let holder_alive =
-                    m.holder == node.name() || peers.alive(node, now).contains(&m.holder.as_str());
-                let limit = if holder_alive { lease } else { lease * 2 };
-                if silent > limit {
-                    leaving.push((id.clone(), Life::Returning, "silent"));
-                    continue;
-                }
-                let sick = hands.get(id).is_some_and(|h| h.failed_jobs.len() >= 2);
-                if sick && m.life == Life::Active {
-                    leaving.push((
-                        id.clone(),
-                        Life::Draining,
-                        "fails the tasks of several jobs",
-                    ));
-                    continue;
+                // A worker whose controller is gone reports to another one
+                // soon, and is claimed by it; if not, it is gone, too.
+                let held = view
+                    .nodes
+                    .get(&m.holder)
+                    .is_some_and(|n| n.value.incarnation == m.incarnation);
+                if held {
+                    fleet.first_seen.remove(id);
+                } else {
+                    let first = *fleet.first_seen.entry(id.clone()).or_insert(now);
+                    if now - first > orphaned {
+                        leaving.push((id.clone(), Life::Returning, "reports to nobody"));
+                        continue;
+                    }
                 }
                 if view.bookings.contains_key(id) {
                     fleet.empty_since.remove(id);
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -19,10 +19,13 @@
     pub incarnation: u64,
     /// How old its horizon is; `None` before its first barrier.
     pub horizon_ms: Option<u64>,
-    /// Machines that it holds, with the time since each was heard.
-    pub heard: Vec<(String, u64)>,
+    /// How many machines report to it.
+    pub machines: u32,
 }
 
+/// Answers each frame.
+const ACK: u8 = 1;
+
 const FRAME_LIMIT: usize = 256 * 1024;
 
 #[derive(Debug)]
@@ -30,7 +33,7 @@
     pub at: Instant,
     pub incarnation: u64,
     pub horizon_ms: Option<u64>,
-    pub heard: HashMap<String, Instant>,
+    pub machines: u32,
 }
 
 #[derive(Debug, Default)]
@@ -42,19 +45,13 @@
 
 impl Peers {
     pub fn take(&mut self, gossip: Gossip, now: Instant) {
-        let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
-        let heard = gossip
-            .heard
-            .into_iter()
-            .map(|(id, ms)| (id, ago(ms)))
-            .collect();
         self.0.insert(
             gossip.node,
             Peer {
                 at: now,
                 incarnation: gossip.incarnation,
                 horizon_ms: gossip.horizon_ms,
-                heard,
+                machines: gossip.machines,
             },
         );
     }
@@ -83,16 +80,6 @@
     pub fn state_serves_another(&self, node: &Node, now: Instant) -> bool {
         self.alive(node, now).len() > 1
     }
-
-    /// When any controller last heard from the machine, as far as is known.
-    pub fn heard(&self, node: &Node, machine: &str, now: Instant) -> Option<Instant> {
-        let others = self
-            .fresh(node, now)
-            .filter_map(|(_, p)| p.heard.get(machine).copied())
-            .max();
-        let own = node.hands.borrow().get(machine).map(|h| h.heard);
-        others.max(own)
-    }
 }
 
 pub fn encode(gossip: &Gossip) -> Option<Vec<u8>> {
@@ -142,6 +129,12 @@
             }
             _ => return,
         }
+        if !matches!(
+            timeout(patience, stream.write_all(&[ACK])).await,
+            Ok(Ok(()))
+        ) {
+            return;
+        }
     }
 }
 
@@ -163,9 +156,14 @@
                 let Some(frame) = encode(&word(&node)) else {
                     continue;
                 };
-                // A write that hangs sits behind a cut: begin anew.
-                match timeout(interval(&node), open.write_all(&frame)).await {
-                    Ok(Ok(())) => {}
+                // Each word is acknowledged: a connection to a process that
+                // ended without a word takes writes for a long time.
+                let exchange = async {
+                    open.write_all(&frame).await?;
+                    open.read_u8().await
+                };
+                match timeout(interval(&node) * 2, exchange).await {
+                    Ok(Ok(ACK)) => {}
                     _ => stream = None,
                 }
             }
@@ -174,19 +172,10 @@
 }
 
 fn word(node: &Node) -> Gossip {
-    let now = Instant::now();
     Gossip {
         node: node.name().to_string(),
         incarnation: node.incarnation,
         horizon_ms: node.horizon_age().map(|a| a.as_millis() as u64),
-        heard: node
-            .hands
-            .borrow()
-            .iter()
-            .map(|(id, h)| {
-                let ms = now.saturating_duration_since(h.heard).as_millis() as u64;
-                (id.clone(), ms)
-            })
-            .collect(),
+        machines: node.hands.borrow().len() as u32,
     }
 }
--- a/src/model.rs
+++ b/src/model.rs
@@ -606,7 +606,8 @@
     pub types: Vec<MachineType>,
 }
 
-/// `fleet`: who rents, tied to a state lease.
+/// `fleet`: who rents; `node/N`: that controller N is up. Both are tied to the
+/// controller's state lease.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Renter {
     #[serde(rename = "h")]
--- a/src/view.rs
+++ b/src/view.rs
@@ -33,6 +33,9 @@
 pub fn machine_key(id: &str) -> String {
     format!("{PREFIX}machine/{id}")
 }
+pub fn node_key(name: &str) -> String {
+    format!("{PREFIX}node/{name}")
+}
 pub fn hire_key(id: &str) -> String {
     format!("{PREFIX}hire/{id}")
 }
@@ -65,6 +68,8 @@
     pub hires: Table<Hire>,
     pub types: Entry<Types>,
     pub fleet: Option<Entry<Renter>>,
+    /// Controllers whose state lease stands.
+    pub nodes: Table<Renter>,
     /// Jobs that are not final, in the order of acceptance.
     pub open: BTreeSet<(u64, String)>,
     /// Which jobs book something on a machine.
@@ -206,6 +211,14 @@
                     value.and_then(|v| parse(key, v)),
                 );
             }
+            "node" => {
+                put(
+                    &mut self.nodes,
+                    id,
+                    version,
+                    value.and_then(|v| parse(key, v)),
+                );
+            }
             "types" => {
                 if let Some(value) = value.and_then(|v| parse::<Types>(key, v))
                     && version > self.types.version
