--- a/src/admission.rs
+++ b/src/admission.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use serde::Serialize;
+use tokio::time::Instant;
 
 use crate::model::{Job, Room, Slot, Spec, Zone};
 use crate::settings::{Settings, TeamTerms};
@@ -358,30 +359,67 @@
     pub priority: std::cmp::Reverse<Priority>,
     /// The team's use over its guarantee.
     pub share: f64,
-    /// Of teams that are as well off, the work that is soonest over.
+    /// What can no longer be in time for its class's objectives lets those
+    /// go first that can.
+    pub late: bool,
+    /// The work that is soonest over.
     pub work: f64,
     pub born: u64,
 }
 
+/// How long each open job has been known here; a hint for the queue's order.
+pub type Ages = HashMap<String, Instant>;
+
 /// All jobs with waiting tasks, the first to be placed first.
-pub fn queue<'a>(view: &'a View, plan: &Plan, settings: &Settings) -> Vec<&'a str> {
+pub fn queue<'a>(
+    view: &'a View,
+    plan: &Plan,
+    settings: &Settings,
+    ages: &Ages,
+    now: Instant,
+) -> Vec<&'a str> {
     let mut queue: Vec<(Rank, &str)> = view
         .open
         .iter()
         .filter_map(|(_, id)| {
             let job = &view.jobs.get(id)?.value;
             let spec = job.spec.as_ref()?;
-            (job.waiting() > 0).then(|| (queue_rank(job, spec, plan, settings), id.as_str()))
+            let age = ages
+                .get(id)
+                .map_or(0.0, |t| now.saturating_duration_since(*t).as_secs_f64());
+            (job.waiting() > 0).then(|| (queue_rank(job, spec, plan, settings, age), id.as_str()))
         })
         .collect();
     queue.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
     queue.into_iter().map(|(_, id)| id).collect()
 }
 
+/// Whether a job of this age, started now, is too late for every objective of
+/// its class. A job without objectives is never late.
+pub fn is_late(spec: &Spec, settings: &Settings, age: f64) -> bool {
+    let mut any = false;
+    for o in &settings.deployment.objectives {
+        if o.class.as_ref() != Some(&spec.class) {
+            continue;
+        }
+        let latest = match (o.kind.as_str(), o.within_s, spec.deadline_s) {
+            ("wait", Some(within), _) => within,
+            ("finished", Some(within), _) => within - spec.estimate_s,
+            ("deadline", _, Some(due)) => due - spec.estimate_s,
+            _ => continue,
+        };
+        any = true;
+        if age <= latest {
+            return false;
+        }
+    }
+    any
+}
+
 /// Teams whose use over guarantee differs by less than a step are as well off.
 const SHARE_STEPS: f64 = 4.0;
 
-pub fn queue_rank(job: &Job, spec: &Spec, plan: &Plan, settings: &Settings) -> Rank {
+pub fn queue_rank(job: &Job, spec: &Spec, plan: &Plan, settings: &Settings, age: f64) -> Rank {
     let used = plan.used(&spec.team);
     let (borrows, share) = match settings.team(&spec.team) {
         Some(terms) => {
@@ -401,16 +439,21 @@
         }
         None => (true, f64::MAX),
     };
-    let left = if spec.is_gang() || spec.kind == Kind::Service {
-        0.0
+    let amount = if spec.need.gpus.0 > 0 {
+        spec.need.gpus
     } else {
-        job.waiting() as f64 * spec.estimate_s * spec.need.cpus.units()
+        spec.need.cpus
+    };
+    let left = match spec.kind {
+        Kind::Service => 0.0,
+        _ => job.waiting() as f64 * spec.estimate_s * amount.units(),
     };
     Rank {
         waits_for_room: !job.cleared,
         borrows,
         priority: std::cmp::Reverse(spec.priority),
         share: (share * SHARE_STEPS).floor(),
+        late: is_late(spec, settings, age),
         work: left,
         born: job.born,
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -772,7 +772,8 @@
     // The work that running independent tasks leave room for soon.
     let mut turnover = running_cpus(&view);
     let most = settings.deployment.state.txn_ops.saturating_sub(2).max(1);
-    for id in admission::queue(&view, &plan, settings) {
+    let ages = node.ages.borrow();
+    for id in admission::queue(&view, &plan, settings, &ages, Instant::now()) {
         let Some(job) = view.jobs.get(id).map(|e| &e.value) else {
             continue;
         };
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::admission::Ages;
 use crate::fleet::FleetState;
 use crate::http::Client;
 use crate::machines::{EndKey, Hand};
@@ -53,6 +54,8 @@
     pub fleet: RefCell<FleetState>,
     /// Why each open job waits, as the decision that made it wait said.
     pub reasons: RefCell<HashMap<String, Reason>>,
+    /// When each open job was first seen here.
+    pub ages: RefCell<Ages>,
     pub rng: RefCell<SmallRng>,
 }
 
@@ -102,6 +105,7 @@
             peers: RefCell::default(),
             fleet: RefCell::default(),
             reasons: RefCell::default(),
+            ages: RefCell::default(),
             rng: RefCell::new(rng),
             settings,
         })
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -110,10 +110,13 @@
         .seen
         .retain(|id, _| view.jobs.get(id).is_some_and(|e| e.value.is_open()));
     rounds.held.retain(|id, _| rounds.seen.contains_key(id));
+    let mut ages = node.ages.borrow_mut();
+    ages.retain(|id, _| view.jobs.get(id).is_some_and(|e| e.value.is_open()));
     for (_, id) in &view.open {
         let Some(entry) = view.jobs.get(id) else {
             continue;
         };
+        ages.entry(id.clone()).or_insert(now);
         let seen = rounds
             .seen
             .entry(id.clone())
@@ -174,7 +177,7 @@
     let mut blocked = Vec::new();
     // All that wait stand in one queue, whoever places them: what goes first
     // elsewhere keeps its room here, too.
-    for id in admission::queue(&view, &plan, settings) {
+    for id in admission::queue(&view, &plan, settings, &node.ages.borrow(), now) {
         if rounds.held.get(id).is_some_and(|h| h.1 > now) {
             continue;
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -117,6 +117,8 @@
     pub count: usize,
     pub zones: Vec<String>,
     pub teams: Vec<TeamTerms>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
     pub workers: Workers,
     pub state: StateTerms,
     pub cloud: CloudTerms,
@@ -125,6 +127,17 @@
     pub clock_off_ms: f64,
 }
 
+/// An aim at starting or finishing a class of jobs. A hint for the queue;
+/// kinds that are not known are passed over.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
 #[derive(Debug, Clone, Deserialize)]
 pub struct Limits {
     pub cpu: f64,
@@ -259,6 +272,14 @@
                 "must be 50 at least",
             ));
         }
+        for (i, o) in d.objectives.iter().enumerate() {
+            if o.within_s.is_some_and(|w| !w.is_finite() || w < 0.0) {
+                return Err(wrong(
+                    format!("deployment.objectives[{i}].within_s"),
+                    "must be 0 or more",
+                ));
+            }
+        }
         if !d.clock_off_ms.is_finite() || d.clock_off_ms < 0.0 {
             return Err(wrong("deployment.clock_off_ms", "must be 0 or more"));
         }
