--- a/src/admission.rs
+++ b/src/admission.rs
@@ -135,7 +135,7 @@
 /// Lower is better. Accelerators are kept for those that need them; then a
 /// service looks for its image first, as it should run at once; then the
 /// cheaper machine, and the tightest fit, so that others stay whole.
-fn rank(spec: &Spec, hints: &Hints, id: &str, slot: &Slot) -> [i64; 6] {
+fn rank(spec: &Spec, hints: &Hints, id: &str, slot: &Slot) -> [i64; 7] {
     let kind = hints.view.type_of(&slot.kind);
     let gpus = kind.map_or(0.0, |k| k.gpus);
     let shape_slots = match &hints.view.gpu_shape {
@@ -145,8 +145,11 @@
     let no_image = i64::from(!hints.view.has_image(id, &spec.image));
     let costly = i64::from(spec.spot && !slot.spot);
     let quick = spec.kind == Kind::Service;
+    // A service stays for long and would keep a costly machine rented.
+    let pins = i64::from(quick && gpus > 0.0 && spec.need.gpus.0 == 0);
     [
         loss(hints, slot, &spec.need) as i64,
+        pins,
         if quick { no_image } else { costly },
         if quick { costly } else { no_image },
         shape_slots as i64,
@@ -208,9 +211,9 @@
 
     /// Tasks that fit one by one, best machines first; at most `most`. Also
     /// tells how good the places are: lower is better.
-    fn fill(mut self, most: usize) -> (Vec<Place>, [i64; 6]) {
+    fn fill(mut self, most: usize) -> (Vec<Place>, [i64; 7]) {
         let mut places = Vec::new();
-        let mut sum = [0; 6];
+        let mut sum = [0; 7];
         let service = self.spec.kind == Kind::Service;
         // Replicas go to different zones and machines while there are some;
         // other tasks fill the best machine first.
@@ -325,7 +328,7 @@
         .collect();
     if gang || spec.one_zone {
         // KEP-2724: one domain that takes them all; the best such one.
-        let mut found: Vec<(Vec<Place>, [i64; 6])> = zones
+        let mut found: Vec<(Vec<Place>, [i64; 7])> = zones
             .iter()
             .map(|z| Field::of(std::iter::once(*z), spec, hints, care).fill(most))
             .filter(|(places, _)| !places.is_empty())
