--- a/src/machines.rs
+++ b/src/machines.rs
@@ -739,10 +739,14 @@
                 Ok(_) => {}
                 Err(error) => {
                     tracing::debug!(%error, "ends not committed");
-                    if !node.barrier(node.settings.lease() / 4).await {
+                    if matches!(error, StoreError::Conflict(_)) {
+                        let before = node.view.borrow().revision;
+                        node.hurry();
+                        node.wait_revision(before + 1, node.request_gap() * 8).await;
+                    } else if !node.barrier(node.settings.lease() / 4).await {
                         break;
                     }
-                    sleep(node.store.jitter(node.request_gap() * 2)).await;
+                    sleep(node.store.jitter(node.request_gap() / 2)).await;
                 }
             }
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -45,6 +45,8 @@
     barrier_started: Cell<u64>,
     barrier_done: watch::Sender<u64>,
     watch_again: Notify,
+    /// Someone waits for the view: the next watch is opened without delay.
+    watch_soon: Notify,
     pub hands: RefCell<HashMap<String, Hand>>,
     pub ends: RefCell<BTreeMap<EndKey, Outcome>>,
     pub ends_wanted: Notify,
@@ -97,6 +99,7 @@
             barrier_started: Cell::new(0),
             barrier_done: watch::Sender::new(0),
             watch_again: Notify::new(),
+            watch_soon: Notify::new(),
             hands: RefCell::default(),
             ends: RefCell::default(),
             ends_wanted: Notify::new(),
@@ -249,10 +252,16 @@
             }
             // Each opened watch counts as a request: a busy stream of changes
             // is taken in sips.
-            sleep(gap.saturating_sub(opened.elapsed())).await;
+            let pause = gap.saturating_sub(opened.elapsed());
+            let _ = timeout(pause, self.watch_soon.notified()).await;
         }
     }
 
+    /// Something committed by others is known to be ahead of the view.
+    pub fn hurry(&self) {
+        self.watch_soon.notify_one();
+    }
+
     /// Keeps the horizon and serves those who wait for a barrier.
     pub async fn keep_horizon(self: Rc<Self>) {
         let idle = self.settings.horizon_limit() / 20;
@@ -265,6 +274,9 @@
             match self.store.revision(BARRIER_KEY).await {
                 Ok(revision) => {
                     let limit = self.settings.lease() / 8;
+                    if self.view.borrow().revision < revision {
+                        self.hurry();
+                    }
                     if self.view.borrow().loaded && self.wait_revision(revision, limit).await {
                         self.horizon.set(Some(sent));
                         self.barrier_done.send_replace(number);
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -71,13 +71,13 @@
                     tracing::debug!(jobs = booked, "admitted");
                 }
                 Err(StoreError::Conflict(keys)) => {
+                    // What has changed is on its way: take it in, and decide
+                    // again on that.
                     tracing::debug!(?keys, "admission conflict");
-                    let _ = timeout(
-                        node.store.jitter(node.request_gap() * 6),
-                        node.stir.notified(),
-                    )
-                    .await;
-                    sleep(node.store.jitter(node.request_gap() * 2)).await;
+                    let before = node.view.borrow().revision;
+                    node.hurry();
+                    node.wait_revision(before + 1, node.request_gap() * 8).await;
+                    sleep(node.store.jitter(node.request_gap() / 2)).await;
                 }
                 Err(error) => {
                     // It may have happened: the view tells after a barrier.
@@ -217,6 +217,14 @@
         }
         let mut job = entry.value.clone();
         book(&mut job, spec, &places);
+        tracing::debug!(
+            job = id,
+            class = spec.class,
+            tasks = places.len(),
+            machine = places[0].machine,
+            kind = kind_of(&view, &places[0]),
+            "places"
+        );
         for place in &places {
             plan.take(&place.zone, &place.machine, &spec.team, spec.need);
             booked.take(&place.zone, &place.machine, &spec.team, spec.need);
@@ -256,6 +264,11 @@
     })
 }
 
+fn kind_of<'a>(view: &'a View, place: &admission::Place) -> &'a str {
+    view.slot(&place.zone, &place.machine)
+        .map_or("?", |s| s.kind.as_str())
+}
+
 /// Places a job. A service or gang that would stand in the way of work that
 /// needs accelerators rather has lower work stopped elsewhere, if it may.
 fn place(
