--- a/src/admission.rs
+++ b/src/admission.rs
@@ -121,13 +121,14 @@
 /// How many tasks of the accelerators' usual shape lose their place on this
 /// machine if `need` is taken from it. Work without accelerators is kept off
 /// them only as far as it is in the way: what they cannot use is free to it.
-fn loss(hints: &Hints, slot: &Slot, need: &Room) -> usize {
+fn loss(hints: &Hints, zone: &str, slot: &Slot, need: &Room) -> usize {
     let gpus = hints.view.type_of(&slot.kind).map_or(0.0, |k| k.gpus);
     if need.gpus.0 > 0 || gpus <= 0.0 {
         return 0;
     }
-    match &hints.view.gpu_shape {
-        Some(shape) => slot.free.slots(shape) - (slot.free - *need).slots(shape),
+    match &hints.view.gpu_spec {
+        Some(s) if !s.allows(&slot.kind, zone, slot.spot) => 0,
+        Some(s) => slot.free.slots(&s.need) - (slot.free - *need).slots(&s.need),
         None => 1,
     }
 }
@@ -135,11 +136,11 @@
 /// Lower is better. Accelerators are kept for those that need them; then a
 /// service looks for its image first, as it should run at once; then the
 /// cheaper machine, and the tightest fit, so that others stay whole.
-fn rank(spec: &Spec, hints: &Hints, id: &str, slot: &Slot) -> [i64; 7] {
+fn rank(spec: &Spec, hints: &Hints, zone: &str, id: &str, slot: &Slot) -> [i64; 7] {
     let kind = hints.view.type_of(&slot.kind);
     let gpus = kind.map_or(0.0, |k| k.gpus);
-    let shape_slots = match &hints.view.gpu_shape {
-        Some(shape) if gpus > 0.0 && spec.need.gpus.0 == 0 => slot.free.slots(shape),
+    let shape_slots = match &hints.view.gpu_spec {
+        Some(s) if gpus > 0.0 && spec.need.gpus.0 == 0 => slot.free.slots(&s.need),
         _ => 0,
     };
     let no_image = i64::from(!hints.view.has_image(id, &spec.image));
@@ -148,7 +149,7 @@
     // A service stays for long and would keep a costly machine rented.
     let pins = i64::from(quick && gpus > 0.0 && spec.need.gpus.0 == 0);
     [
-        loss(hints, slot, &spec.need) as i64,
+        loss(hints, zone, slot, &spec.need) as i64,
         pins,
         if quick { no_image } else { costly },
         if quick { costly } else { no_image },
@@ -178,11 +179,12 @@
 }
 
 impl<'a> Field<'a> {
-    fn open(&self, slot: &Slot) -> bool {
+    fn open(&self, zone: &str, slot: &Slot) -> bool {
         // Independent tasks come and go: they never stand in the way of work
         // that needs the accelerators.
         let strict = self.care == Care::Strict || self.spec.kind == Kind::Array;
-        slot.free.fits(&self.spec.need) && (!strict || loss(self.hints, slot, &self.spec.need) == 0)
+        slot.free.fits(&self.spec.need)
+            && (!strict || loss(self.hints, zone, slot, &self.spec.need) == 0)
     }
 
     fn of(
@@ -201,7 +203,7 @@
         for (name, zone, cap) in zones {
             field.caps.insert(name, cap);
             for (id, slot) in &zone.machines {
-                if spec.allows(&slot.kind, name, slot.spot) && field.open(slot) {
+                if spec.allows(&slot.kind, name, slot.spot) && field.open(name, slot) {
                     field.machines.push((name, id, slot.clone()));
                 }
             }
@@ -226,7 +228,7 @@
                 .iter_mut()
                 .filter(|(zone, _, _)| caps[zone] > 0)
                 .map(|(zone, id, slot)| {
-                    let rank = rank(self.spec, self.hints, id, slot);
+                    let rank = rank(self.spec, self.hints, zone, id, slot);
                     let near = if service {
                         let count = |m: &HashMap<&String, i64>, k| m.get(k).copied().unwrap_or(0);
                         (count(&in_zone, zone), count(&on_machine, id))
@@ -257,12 +259,12 @@
                 if let Some(cap) = self.caps.get_mut(zone) {
                     *cap -= 1;
                 }
-                let room = places.len() < most && self.caps[zone] > 0 && self.open(&free);
+                let room = places.len() < most && self.caps[zone] > 0 && self.open(zone, &free);
                 if service || !room {
                     break;
                 }
             }
-            let open = self.open(&free);
+            let open = self.open(zone, &free);
             match self.machines.iter().position(|(_, m, _)| *m == id) {
                 Some(at) if open => self.machines[at].2 = free,
                 Some(at) => {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -871,20 +871,34 @@
     let fleet = node.fleet.borrow();
     let most = node.settings.deployment.state.txn_ops as u32 - 2;
     let mut best: Option<(f64, &MachineType, Offer)> = None;
+    // Work that can wait is not worth any price.
+    let dearest = match (spec.kind, spec.deadline_s) {
+        (Kind::Array, None) => 5.0,
+        (Kind::Array, Some(_)) => 20.0,
+        _ => f64::INFINITY,
+    };
+    let cheapest = cheapest_of(view, spec);
     for t in &view.types.value.types {
         let slots = Room::of_type(t).slots(&spec.need);
         if slots == 0 || !spec.allows_type(&t.name) {
             continue;
         }
-        if spec.kind == Kind::Array && t.gpus > 0.0 && spec.need.gpus.0 == 0 {
-            // They would stand in the way there, see `admission::fit`.
-            continue;
-        }
         for zone in &t.zones {
             for spot in [true, false] {
                 if !spec.allows(&t.name, zone, spot) {
                     continue;
                 }
+                if spec.kind == Kind::Array
+                    && spec.need.gpus.0 == 0
+                    && t.gpus > 0.0
+                    && view
+                        .gpu_spec
+                        .as_ref()
+                        .is_none_or(|g| g.allows(&t.name, zone, spot))
+                {
+                    // They would stand in the way there, see `admission`.
+                    continue;
+                }
                 let offer = (t.name.clone(), zone.clone(), spot);
                 let refused = fleet.refused.get(&offer);
                 if refused.is_some_and(|(until, _)| *until > now)
@@ -893,6 +907,10 @@
                     continue;
                 }
                 let price = cost(t, spot) / slots.min(wanted) as f64;
+                let full = cost(t, spot) / slots as f64;
+                if full > cheapest * dearest {
+                    continue;
+                }
                 if best.as_ref().is_none_or(|(p, _, _)| price < *p) {
                     best = Some((price, t, offer));
                 }
@@ -902,6 +920,18 @@
     best.map(|(_, t, offer)| (t, offer))
 }
 
+/// The least that a task of this shape costs anywhere by nominal price.
+fn cheapest_of(view: &View, spec: &Spec) -> f64 {
+    let mut least = f64::INFINITY;
+    for t in &view.types.value.types {
+        let slots = Room::of_type(t).slots(&spec.need);
+        if slots > 0 && spec.allows_type(&t.name) {
+            least = least.min(cost(t, spec.spot) / slots as f64);
+        }
+    }
+    least
+}
+
 fn cost(t: &MachineType, spot: bool) -> f64 {
     if spot { t.spot_price } else { t.price }
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -9,7 +9,7 @@
 
 use serde::de::DeserializeOwned;
 
-use crate::model::{Hire, Job, Machine, Renter, Room, Slot, Team, Types, Zone};
+use crate::model::{Hire, Job, Machine, Renter, Room, Slot, Spec, Team, Types, Zone};
 use crate::wire::{Event, Pair, Write};
 
 /// All keys of the service begin with this; one watch covers them.
@@ -79,9 +79,9 @@
     /// Images that have been sent to a machine, the latest last. Memory only:
     /// a hint for placing, rebuilt as bookings are seen.
     images: HashMap<String, Vec<String>>,
-    /// What the latest job that needs accelerators takes per task: the shape
-    /// for which machines with accelerators are kept free. A hint, too.
-    pub gpu_shape: Option<Room>,
+    /// The latest job that needs accelerators: what machines with accelerators
+    /// are kept free for. A hint, too.
+    pub gpu_spec: Option<Spec>,
     pub changes: Changes,
 }
 
@@ -116,11 +116,12 @@
     /// Takes a full read in place of what was known.
     pub fn reload(&mut self, pairs: Vec<Pair>, revision: u64) {
         let images = std::mem::take(&mut self.images);
+        let gpu_spec = self.gpu_spec.take();
         let mut changes = std::mem::take(&mut self.changes);
         changes.machines.extend(self.machines.keys().cloned());
         *self = View {
             images,
-            gpu_shape: self.gpu_shape,
+            gpu_spec,
             changes,
             loaded: true,
             revision,
@@ -266,7 +267,7 @@
         if let Some(spec) = &job.spec
             && spec.need.gpus.0 > 0
         {
-            self.gpu_shape = Some(spec.need);
+            self.gpu_spec = Some(spec.clone());
         }
         for run in &job.runs {
             self.bookings
