--- a/src/placement.rs
+++ b/src/placement.rs
@@ -288,7 +288,7 @@
     let lax = admission::fit(job, spec, plan, &hints, settings, Care::Lax);
     let coming = with_stops(view, plan);
     let clears = admission::fit(job, spec, &coming, &hints, settings, Care::Strict).is_ok()
-        || find_victims(node, view, &coming, id, job, spec).is_some();
+        || find_victims(node, view, &coming, id, job, spec, Care::Strict).is_some();
     if clears { strict } else { lax }
 }
 
@@ -353,7 +353,10 @@
         if admission::fit(job, spec, &coming, &hints, settings, Care::Strict).is_ok() {
             continue;
         }
-        let Some(victims) = find_victims(node, view, &coming, id, job, spec) else {
+        let found = [Care::Strict, Care::Lax]
+            .into_iter()
+            .find_map(|care| find_victims(node, view, &coming, id, job, spec, care));
+        let Some(victims) = found else {
             continue;
         };
         rounds.preempted.insert(id.clone(), now);
@@ -426,6 +429,7 @@
     id: &str,
     job: &Job,
     spec: &Spec,
+    care: Care,
 ) -> Option<Vec<Victim>> {
     let settings = &node.settings;
     let terms = settings.team(&spec.team)?;
@@ -458,6 +462,10 @@
         if !admission::may_preempt(spec, inside, victim, borrows(&victim.team, coming)) {
             continue;
         }
+        // Work on accelerators is the last to go for work without.
+        if care == Care::Strict && spec.need.gpus.0 == 0 && victim.need.gpus.0 > 0 {
+            continue;
+        }
         for run in entry.value.runs.iter().filter(|r| !r.stop) {
             let slot = view.slot(&run.zone, &run.machine);
             if slot.is_some_and(|s| spec.allows(&s.kind, &run.zone, s.spot)) {
@@ -495,7 +503,7 @@
                     tasks: n,
                 }),
             }
-            if let Ok(places) = admission::fit(job, spec, &after, &hints, settings, Care::Strict) {
+            if let Ok(places) = admission::fit(job, spec, &after, &hints, settings, care) {
                 // Only what was cleared where the job will be is needed.
                 let used: BTreeSet<&str> = places.iter().map(|p| p.machine.as_str()).collect();
                 victims.retain(|v| used.contains(v.machine.as_str()));
