--- a/src/admission.rs
+++ b/src/admission.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
-use crate::model::{Job, Room, Slot, Spec, Zone};
+use crate::model::{Amount, Job, Room, Slot, Spec, Zone};
 use crate::settings::{Settings, TeamTerms};
 use crate::view::View;
 use crate::wire::{Kind, Priority};
@@ -86,7 +86,7 @@
 /// How many more tasks the team's limit lets run.
 pub fn team_slots(terms: &TeamTerms, used: &Room, need: &Room) -> usize {
     let (cpus, gpus) = terms.limit();
-    let part = |cap: Option<crate::model::Amount>, used: i64, need: i64| match cap {
+    let part = |cap: Option<Amount>, used: i64, need: i64| match cap {
         Some(cap) if need > 0 => ((cap.0 - used).max(0) / need) as usize,
         _ => usize::MAX,
     };
@@ -180,11 +180,31 @@
 
 impl<'a> Field<'a> {
     fn open(&self, zone: &str, slot: &Slot) -> bool {
-        // Independent tasks come and go: they never stand in the way of work
-        // that needs the accelerators.
-        let strict = self.care == Care::Strict || self.spec.kind == Kind::Array;
-        slot.free.fits(&self.spec.need)
-            && (!strict || loss(self.hints, zone, slot, &self.spec.need) == 0)
+        if !slot.free.fits(&self.spec.need) {
+            return false;
+        }
+        let view = self.hints.view;
+        let kind = view.type_of(&slot.kind);
+        let gpus = kind.map_or(0.0, |k| k.gpus);
+        let wanted = view
+            .gpu_spec
+            .as_ref()
+            .is_none_or(|s| s.allows(&slot.kind, zone, slot.spot));
+        if self.spec.need.gpus.0 > 0 || gpus <= 0.0 || !wanted {
+            return true;
+        }
+        match (self.spec.kind, self.care) {
+            // Independent tasks come and go: they never stand in the way of
+            // work that needs the accelerators, and they do not keep a
+            // machine rented whose accelerators are idle.
+            (Kind::Array, _) => {
+                slot.free.gpus < Amount::room(gpus)
+                    && loss(self.hints, zone, slot, &self.spec.need) == 0
+            }
+            // What stays for long goes elsewhere if it can.
+            (_, Care::Strict) => false,
+            (_, Care::Lax) => true,
+        }
     }
 
     fn of(
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -781,8 +781,9 @@
         let mut left = job.waiting();
         // Rent and fill by turns: what is rented for one task serves others.
         let mut tries = 0;
+        let mut care = Care::Strict;
         loop {
-            if let Ok(places) = admission::fit(job, spec, &plan, &hints, settings, Care::Lax) {
+            if let Ok(places) = admission::fit(job, spec, &plan, &hints, settings, care) {
                 let places = &places[..places.len().min(left)];
                 left -= places.len();
                 for p in places {
@@ -812,8 +813,12 @@
                 }
             }
             let wanted = wanted.ceil().max(1.0) as usize;
-            let Some((t, offer)) = best_offer(node, &view, &hires, spec, wanted) else {
-                break;
+            let Some((t, offer)) = best_offer(node, &view, &hires, spec, wanted, care) else {
+                if care == Care::Lax {
+                    break;
+                }
+                care = Care::Lax;
+                continue;
             };
             let (kind, zone, spot) = offer.clone();
             let slot = Slot {
@@ -866,6 +871,7 @@
     hires: &BTreeMap<Offer, Hire>,
     spec: &Spec,
     wanted: usize,
+    care: Care,
 ) -> Option<(&'a MachineType, Offer)> {
     let now = Instant::now();
     let fleet = node.fleet.borrow();
@@ -888,7 +894,7 @@
                 if !spec.allows(&t.name, zone, spot) {
                     continue;
                 }
-                if spec.kind == Kind::Array
+                if (spec.kind == Kind::Array || care == Care::Strict)
                     && spec.need.gpus.0 == 0
                     && t.gpus > 0.0
                     && view
