--- a/src/admission.rs
+++ b/src/admission.rs
@@ -10,9 +10,10 @@
 use tokio::time::Instant;
 
 use crate::model::{Amount, Job, Room, Slot, Spec, Zone};
+use crate::policy::JobFacts;
 use crate::settings::{Settings, TeamTerms};
 use crate::view::View;
-use crate::wire::{Kind, Priority};
+use crate::wire::Kind;
 
 /// Why a job has to wait, as the decision found it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
@@ -34,6 +35,8 @@
     RecordFull,
     /// Other work goes first in this round.
     Queue,
+    /// The cloud has refused every machine that would hold it.
+    Refused,
 }
 
 /// Free room as a round plans with it: what the records say, less what the
@@ -377,18 +380,11 @@
 /// A job's place in the queue: lower goes first.
 #[derive(Debug, Clone, PartialEq, PartialOrd)]
 pub struct Rank {
-    /// Room has been cleared for it already.
+    /// Room has been cleared for it already: the policy does not come into
+    /// that, or what was stopped for one job would serve another.
     pub waits_for_room: bool,
-    /// Work that fits its team's guarantee goes before borrowed room.
-    pub borrows: bool,
-    pub priority: std::cmp::Reverse<Priority>,
-    /// The team's use over its guarantee.
-    pub share: f64,
-    /// What can no longer be in time for its class's objectives lets those
-    /// go first that can.
-    pub late: bool,
-    /// The work that is soonest over.
-    pub work: f64,
+    /// The policy's keys.
+    pub keys: Vec<f64>,
     pub born: u64,
 }
 
@@ -406,13 +402,19 @@
     let mut queue: Vec<(Rank, &str)> = view
         .open
         .iter()
-        .filter_map(|(_, id)| {
+        .filter_map(|(born, id)| {
             let job = &view.jobs.get(id)?.value;
-            let spec = job.spec.as_ref()?;
+            let spec = job.spec.as_ref().filter(|_| job.waiting() > 0)?;
             let age = ages
                 .get(id)
                 .map_or(0.0, |t| now.saturating_duration_since(*t).as_secs_f64());
-            (job.waiting() > 0).then(|| (queue_rank(job, spec, plan, settings, age), id.as_str()))
+            let facts = facts(job, spec, plan, settings, view, age);
+            let rank = Rank {
+                waits_for_room: !job.cleared,
+                keys: settings.policy.queue_order(&facts),
+                born: *born,
+            };
+            Some((rank, id.as_str()))
         })
         .collect();
     queue.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
@@ -441,11 +443,17 @@
     any
 }
 
-/// Teams whose use over guarantee differs by less than a step are as well off.
-const SHARE_STEPS: f64 = 4.0;
-
-pub fn queue_rank(job: &Job, spec: &Spec, plan: &Plan, settings: &Settings, age: f64) -> Rank {
+/// What the policy may know of a job.
+pub fn facts(
+    job: &Job,
+    spec: &Spec,
+    plan: &Plan,
+    settings: &Settings,
+    view: &View,
+    age: f64,
+) -> JobFacts {
     let used = plan.used(&spec.team);
+    let on_gpus = spec.need.gpus.0 > 0;
     let (borrows, share) = match settings.team(&spec.team) {
         Some(terms) => {
             let tasks = if spec.is_gang() {
@@ -454,33 +462,43 @@
                 1
             };
             let g = terms.guarantee();
-            let part = |u: i64, g: i64| u as f64 / (g.max(1)) as f64;
-            let share = if spec.need.gpus.0 > 0 {
-                part(used.gpus.0, g.gpus.0.max(1000))
+            // A team without a guarantee counts as if it had one unit.
+            let part = |u: Amount, g: Amount| u.units() / g.units().max(1.0);
+            let share = if on_gpus {
+                part(used.gpus, g.gpus)
             } else {
-                part(used.cpus.0, g.cpus.0.max(1000))
+                part(used.cpus, g.cpus)
             };
             (!within_guarantee(terms, &used, spec, tasks), share)
         }
         None => (true, f64::MAX),
     };
-    let amount = if spec.need.gpus.0 > 0 {
+    let amount = if on_gpus {
         spec.need.gpus
     } else {
         spec.need.cpus
     };
-    let left = match spec.kind {
+    let work = match spec.kind {
         Kind::Service => 0.0,
         _ => job.waiting() as f64 * spec.estimate_s * amount.units(),
     };
-    Rank {
-        waits_for_room: !job.cleared,
+    JobFacts {
         borrows,
-        priority: std::cmp::Reverse(spec.priority),
-        share: (share * SHARE_STEPS).floor(),
+        priority: f64::from(spec.priority as u8),
+        share,
         late: is_late(spec, settings, age),
-        work: left,
-        born: job.born,
+        work,
+        age_s: age,
+        tasks: f64::from(spec.tasks),
+        waiting: job.waiting() as f64,
+        estimate_s: spec.estimate_s,
+        kind: match spec.kind {
+            Kind::Array => 0.0,
+            Kind::Gang => 1.0,
+            Kind::Service => 2.0,
+        },
+        has_deadline: spec.deadline_s.is_some(),
+        boot_s: view.least_boot_s(),
     }
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -39,6 +39,12 @@
             Err(_) => Response::error(400, "not a report"),
         },
         "/submissions" if allowed("POST") => submit(node, &request.body).await,
+        "/ops/teams" if allowed("GET") => crate::ops::teams(node),
+        "/ops/report" if allowed("GET") => crate::ops::report(node, &request.query),
+        _ if path.starts_with("/ops/job/") && allowed("GET") => {
+            crate::ops::job(node, path.trim_start_matches("/ops/job/"))
+        }
+        "/ops/teams" | "/ops/report" => Response::error(405, "method not allowed"),
         "/up" | "/agent/beat" | "/submissions" => Response::error(405, "method not allowed"),
         _ => match path.strip_prefix("/submissions/") {
             Some(rest) => match rest.strip_suffix("/withdraw") {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -16,6 +16,7 @@
 use crate::http::Response;
 use crate::model::{Hire, Life, Machine, Renter, Room, Slot, Spec, Types};
 use crate::node::{Node, guard, put};
+use crate::policy::MachineFacts;
 use crate::store::{Class, StoreError};
 use crate::view::{FLEET_KEY, TYPES_KEY, View, hire_key, job_key, machine_key, node_key, zone_key};
 use crate::wire::{
@@ -678,11 +679,22 @@
     let mut leaving = Vec::new();
     for (id, entry) in &view.machines {
         let m = &entry.value;
-        let boot = view.type_of(&m.kind).map_or(60.0, |t| t.boot_s.max(10.0));
+        let Some(kind) = view.type_of(&m.kind) else {
+            continue;
+        };
+        let facts = MachineFacts {
+            boot_s: kind.boot_s,
+            price: cost(kind, m.spot),
+            cpus: kind.cpus,
+            gpus: kind.gpus,
+            spot: m.spot,
+        };
+        let policy = &node.settings.policy;
         match m.life {
             Life::Booting => {
                 let first = *fleet.first_seen.entry(id.clone()).or_insert(now);
-                if now - first > Duration::from_secs_f64(boot * 4.0) {
+                let limit = Duration::from_secs_f64(policy.boot_limit_s(&facts));
+                if now.saturating_duration_since(first) > limit {
                     leaving.push((id.clone(), Life::Returning, "never came up"));
                 }
             }
@@ -697,7 +709,7 @@
                     fleet.first_seen.remove(id);
                 } else {
                     let first = *fleet.first_seen.entry(id.clone()).or_insert(now);
-                    if now - first > orphaned {
+                    if now.saturating_duration_since(first) > orphaned {
                         leaving.push((id.clone(), Life::Returning, "reports to nobody"));
                         continue;
                     }
@@ -710,7 +722,7 @@
                 let idle = now.saturating_duration_since(since);
                 if m.life == Life::Draining {
                     leaving.push((id.clone(), Life::Returning, "drained"));
-                } else if idle > Duration::from_secs_f64(boot) {
+                } else if idle > Duration::from_secs_f64(policy.idle_s(&facts)) {
                     leaving.push((id.clone(), Life::Returning, "idle"));
                 }
             }
@@ -771,13 +783,20 @@
     let hints = Hints { view: &view };
     // The work that running independent tasks leave room for soon.
     let mut turnover = running_cpus(&view);
+    let now = Instant::now();
     let most = settings.deployment.state.txn_ops.saturating_sub(2).max(1);
     let ages = node.ages.borrow();
-    for id in admission::queue(&view, &plan, settings, &ages, Instant::now()) {
+    for id in admission::queue(&view, &plan, settings, &ages, now) {
         let Some(job) = view.jobs.get(id).map(|e| &e.value) else {
             continue;
         };
         let Some(spec) = &job.spec else { continue };
+        let age = ages
+            .get(id)
+            .map_or(0.0, |t| now.saturating_duration_since(*t).as_secs_f64());
+        let facts = admission::facts(job, spec, &plan, settings, &view, age);
+        let policy = &settings.policy;
+        let dearest = policy.rent_price_ratio(&facts);
         let mut left = job.waiting();
         // Rent and fill by turns: what is rented for one task serves others.
         let mut tries = 0;
@@ -802,19 +821,21 @@
             if spec.kind == Kind::Array {
                 // Tasks that run one after another in the window need less
                 // room at once; what others free in that time serves too.
-                let window = 60f64.max(spec.estimate_s);
+                let window = policy.rent_window_s(&facts);
                 let cpus = spec.need.cpus.units().max(0.001);
                 wanted = wanted * spec.estimate_s.max(1.0) / window;
-                let covered = wanted.min(turnover / cpus);
-                turnover -= covered * cpus;
+                let covered = wanted.min(turnover * policy.rent_turnover(&facts) / cpus);
+                turnover -= covered * cpus / policy.rent_turnover(&facts).max(0.01);
                 wanted -= covered;
                 if wanted < 0.5 {
                     break;
                 }
             }
             let wanted = wanted.ceil().max(1.0) as usize;
-            let Some((t, offer)) = best_offer(node, &view, &hires, spec, wanted, care) else {
+            let Some((t, offer)) = best_offer(node, &view, &hires, spec, wanted, care, dearest)
+            else {
                 if care == Care::Lax {
+                    crate::placement::note(node, id, admission::Wait::Refused, now);
                     break;
                 }
                 care = Care::Lax;
@@ -861,7 +882,7 @@
             cpus += spec.need.cpus.units() * job.booked() as f64;
         }
     }
-    cpus * 0.5
+    cpus
 }
 
 /// The offer that is cheapest for each task it would hold of those wanted.
@@ -872,17 +893,13 @@
     spec: &Spec,
     wanted: usize,
     care: Care,
+    dearest: f64,
 ) -> Option<(&'a MachineType, Offer)> {
     let now = Instant::now();
     let fleet = node.fleet.borrow();
     let most = node.settings.deployment.state.txn_ops as u32 - 2;
     let mut best: Option<(f64, &MachineType, Offer)> = None;
     // Work that can wait is not worth any price.
-    let dearest = match (spec.kind, spec.deadline_s) {
-        (Kind::Array, None) => 5.0,
-        (Kind::Array, Some(_)) => 20.0,
-        _ => f64::INFINITY,
-    };
     let cheapest = cheapest_of(view, spec);
     for t in &view.types.value.types {
         let slots = Room::of_type(t).slots(&spec.need);
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -21,6 +21,8 @@
     pub horizon_ms: Option<u64>,
     /// How many machines report to it.
     pub machines: u32,
+    /// Offers that the cloud has refused it of late.
+    pub refused: Vec<String>,
 }
 
 /// Answers each frame.
@@ -34,6 +36,7 @@
     pub incarnation: u64,
     pub horizon_ms: Option<u64>,
     pub machines: u32,
+    pub refused: Vec<String>,
 }
 
 #[derive(Debug, Default)]
@@ -52,6 +55,7 @@
                 incarnation: gossip.incarnation,
                 horizon_ms: gossip.horizon_ms,
                 machines: gossip.machines,
+                refused: gossip.refused,
             },
         );
     }
@@ -76,6 +80,13 @@
         names
     }
 
+    /// What the cloud has refused the others.
+    pub fn refused(&self, node: &Node, now: Instant) -> Vec<String> {
+        self.fresh(node, now)
+            .flat_map(|(_, p)| p.refused.iter().cloned())
+            .collect()
+    }
+
     /// Whether some other controller is served by the state service.
     pub fn state_serves_another(&self, node: &Node, now: Instant) -> bool {
         self.alive(node, now).len() > 1
@@ -177,5 +188,6 @@
         incarnation: node.incarnation,
         horizon_ms: node.horizon_age().map(|a| a.as_millis() as u64),
         machines: node.hands.borrow().len() as u32,
+        refused: node.fleet.borrow().refused_now(Instant::now()),
     }
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -51,6 +51,8 @@
     held: HashMap<String, (u32, Instant)>,
     /// Preemptions made, so that their effect is awaited.
     preempted: HashMap<String, Instant>,
+    /// When the whole queue was last gone through.
+    noted: Option<Instant>,
 }
 
 pub async fn keep_placing(node: Rc<Node>) {
@@ -147,10 +149,12 @@
     ids
 }
 
-fn note(node: &Node, id: &str, why: Wait, now: Instant) {
+pub fn note(node: &Node, id: &str, why: Wait, now: Instant) {
     let mut reasons = node.reasons.borrow_mut();
     match reasons.get_mut(id) {
         Some(r) if r.why == why => {}
+        // The renter knows better why there is no room.
+        Some(r) if r.why == Wait::Refused && why == Wait::NoRoom => {}
         _ => {
             reasons.insert(id.to_string(), Reason { why, since: now });
         }
@@ -162,9 +166,18 @@
     let now = Instant::now();
     let view = node.view.borrow();
     let ids = mine(node, rounds, &view, now);
-    if ids.is_empty() {
+    // Without work of its own a round now and then still notes why jobs wait:
+    // any controller may be asked.
+    let notes_due = rounds
+        .noted
+        .is_none_or(|t| now.saturating_duration_since(t) > node.settings.report());
+    if ids.is_empty() && !notes_due {
         return None;
     }
+    rounds.noted = Some(now);
+    node.reasons
+        .borrow_mut()
+        .retain(|id, _| view.jobs.get(id).is_some_and(|e| e.value.waiting() > 0));
     let mine: BTreeSet<&str> = ids.iter().map(String::as_str).collect();
     let settings = &node.settings;
     let ops = settings.deployment.state.txn_ops;
@@ -189,9 +202,11 @@
         };
         let places = match place(node, &view, &plan, id, &entry.value, spec) {
             Ok(places) => places,
-            Err(_) if !mine.contains(id) => continue,
             Err(why) => {
                 note(node, id, why, now);
+                if !mine.contains(id) {
+                    continue;
+                }
                 if matches!(why, Wait::NoRoom | Wait::NoZone | Wait::Spread) {
                     blocked.push(id.to_string());
                 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 
 use crate::model::{Amount, Room};
+use crate::policy::Policy;
 
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -155,6 +156,9 @@
     pub others: Vec<Peer>,
     pub external: External,
     pub deployment: Deployment,
+    /// The operators' own settings; not part of the platform's file.
+    #[serde(skip)]
+    pub policy: Policy,
 }
 
 /// The bound that the platform gives for the drift between steady clocks.
--- a/src/view.rs
+++ b/src/view.rs
@@ -329,6 +329,13 @@
         self.types.value.types.iter().find(|t| t.name == kind)
     }
 
+    /// The shortest boot time of all types.
+    pub fn least_boot_s(&self) -> f64 {
+        let types = &self.types.value.types;
+        let least = types.iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
+        if least.is_finite() { least } else { 0.0 }
+    }
+
     /// The slot that a machine has in its zone's record.
     pub fn slot(&self, zone: &str, machine: &str) -> Option<&Slot> {
         self.zones.get(zone)?.value.machines.get(machine)
