--- /dev/null
+++ b/tests/service.rs
@@ -0,0 +1,259 @@
+//! The whole service against stand-ins, in simulated time.
+
+mod stand_ins;
+
+use std::time::Duration;
+
+use serde_json::json;
+use stand_ins::{CONTROLLERS, Trouble, World, controller, in_world, job};
+use tokio::time::sleep;
+
+#[test]
+fn each_kind_of_job_runs_to_its_end() {
+    in_world(|| async {
+        let w = World::new(1).await;
+        let array = w.submit(job(1, "batch", 20, 5.0)).await;
+        let gang = w.submit(job(2, "gang", 2, 8.0)).await;
+        let service = w.submit(job(3, "daemon", 2, 0.0)).await;
+        w.until(&array, "done", 200).await;
+        w.until(&gang, "done", 200).await;
+        w.until(&service, "running", 60).await;
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(w.running(&service), 2);
+        assert_eq!(w.withdraw(1, &service).await.as_deref(), Some("aborted"));
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(w.running(&service), 0);
+        for i in 0..CONTROLLERS {
+            assert_eq!(w.stage(i, &array).await.as_deref(), Some("done"));
+            assert_eq!(w.stage(i, &service).await.as_deref(), Some("aborted"));
+            assert_eq!(w.withdraw(i, &array).await.as_deref(), Some("done"));
+        }
+        // Nothing is left to do: the machines go back.
+        sleep(Duration::from_secs(60)).await;
+        assert_eq!(w.workers.borrow().len(), 0);
+        w.assert_kept();
+    });
+}
+
+#[test]
+fn one_id_at_several_controllers_is_one_job() {
+    in_world(|| async {
+        let w = World::new(2).await;
+        w.submit(job(1, "batch", 1, 1.0)).await;
+        let one = job(7, "batch", 2, 3.0);
+        let (a, b, c) = tokio::join!(
+            w.ask(0, "POST", "/submissions", Some(&one)),
+            w.ask(1, "POST", "/submissions", Some(&one)),
+            w.ask(2, "POST", "/submissions", Some(&one)),
+        );
+        let mut statuses = [a.0, b.0, c.0];
+        statuses.sort_unstable();
+        assert_eq!(statuses, [200, 200, 201]);
+        // Known: its state, whatever the repeated body says.
+        let mut other = one.clone();
+        other["crew"] = json!("nobody");
+        assert_eq!(w.ask(0, "POST", "/submissions", Some(&other)).await.0, 200);
+        assert_eq!(
+            w.ask(0, "POST", "/submissions", Some(&json!([]))).await.0,
+            400
+        );
+        assert_eq!(
+            w.ask(0, "GET", "/submissions/job-999999", None).await.0,
+            404
+        );
+        assert_eq!(w.ask(0, "GET", "/nowhere", None).await.0, 404);
+        assert_eq!(w.ask(0, "PUT", "/submissions", None).await.0, 405);
+        other["name_id"] = json!("job-000008");
+        assert_eq!(w.ask(0, "POST", "/submissions", Some(&other)).await.0, 422);
+    });
+}
+
+#[test]
+fn nothing_is_forgotten_when_all_controllers_restart() {
+    in_world(|| async {
+        let w = World::new(3).await;
+        let array = w.submit(job(1, "batch", 30, 6.0)).await;
+        let service = w.submit(job(2, "daemon", 1, 0.0)).await;
+        let over = w.submit(job(3, "batch", 1, 1.0)).await;
+        w.until(&over, "done", 100).await;
+        w.until(&service, "running", 100).await;
+        sleep(Duration::from_secs(3)).await;
+        for i in 0..CONTROLLERS {
+            w.kill(i);
+        }
+        sleep(Duration::from_secs(4)).await;
+        for i in 0..CONTROLLERS {
+            w.start(i);
+        }
+        sleep(Duration::from_secs(4)).await;
+        // Back inside the workers' lease: what ran still runs.
+        assert_eq!(w.running(&service), 1);
+        assert_eq!(w.stage(0, &over).await.as_deref(), Some("done"));
+        w.until(&array, "done", 300).await;
+        w.assert_kept();
+    });
+}
+
+/// A commit without an answer may have happened, or may happen yet.
+#[test]
+fn lost_and_late_commit_answers_do_no_harm() {
+    for (seed, trouble) in [(4, Trouble::LoseAnswers), (5, Trouble::Late)] {
+        in_world(|| async move {
+            let w = World::new(seed).await;
+            let first = w.submit(job(1, "batch", 12, 4.0)).await;
+            w.state.trouble.set(trouble);
+            for n in 2..6 {
+                w.state.troubled.set(3);
+                w.submit(job(n, if n % 2 == 0 { "gang" } else { "batch" }, 3, 4.0))
+                    .await;
+                sleep(Duration::from_secs(6)).await;
+            }
+            w.state.troubled.set(0);
+            w.until(&first, "done", 300).await;
+            for n in 2..6 {
+                w.until(&format!("job-{n:06}"), "done", 300).await;
+            }
+            w.assert_kept();
+        });
+    }
+}
+
+#[test]
+fn lost_machines_are_replaced() {
+    in_world(|| async {
+        let w = World::new(6).await;
+        let service = w.submit(job(1, "daemon", 2, 0.0)).await;
+        let gang = w.submit(job(2, "gang", 2, 20.0)).await;
+        w.until(&service, "running", 100).await;
+        sleep(Duration::from_secs(12)).await;
+        let names: Vec<String> = w.workers.borrow().keys().cloned().collect();
+        for name in names {
+            w.lose(&name);
+        }
+        w.until(&gang, "done", 200).await;
+        assert_eq!(w.running(&service), 2);
+        w.assert_kept();
+    });
+}
+
+/// Safety 4: a controller cut off from the state service learns of no
+/// cancellation, so it must let its workers' leases run out in time.
+#[test]
+fn a_cut_off_controller_keeps_no_cancelled_task() {
+    in_world(|| async {
+        let w = World::new(7).await;
+        let service = w.submit(job(1, "daemon", 4, 0.0)).await;
+        w.until(&service, "running", 100).await;
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(w.running(&service), 4);
+        // One after another, each controller loses the state service, and
+        // its workers stay with it as long as it answers them.
+        for i in 0..CONTROLLERS - 1 {
+            w.fabric
+                .cut(controller(i), "10.2.0.1:1".parse().expect("address"));
+        }
+        sleep(Duration::from_secs(1)).await;
+        let last = CONTROLLERS - 1;
+        let mut told = None;
+        for _ in 0..10 {
+            told = w.withdraw(last, &service).await;
+            if told.is_some() {
+                break;
+            }
+        }
+        assert_eq!(told.as_deref(), Some("aborted"));
+        sleep(Duration::from_secs(40)).await;
+        assert_eq!(w.running(&service), 0);
+        w.assert_kept();
+    });
+}
+
+#[test]
+fn an_outage_that_all_share_ends_nothing() {
+    in_world(|| async {
+        let w = World::new(8).await;
+        let service = w.submit(job(1, "daemon", 3, 0.0)).await;
+        w.until(&service, "running", 100).await;
+        sleep(Duration::from_secs(5)).await;
+        let before = w.starts.get();
+        w.state.trouble.set(Trouble::Down);
+        sleep(Duration::from_secs(12)).await;
+        assert_eq!(
+            w.ask(0, "POST", "/submissions", Some(&job(2, "batch", 1, 1.0)))
+                .await
+                .0,
+            503
+        );
+        // A known job that is not over must not be told from an old view.
+        assert_eq!(
+            w.ask(0, "GET", &format!("/submissions/{service}"), None)
+                .await
+                .0,
+            503
+        );
+        w.state.trouble.set(Trouble::None);
+        sleep(Duration::from_secs(10)).await;
+        assert_eq!((w.running(&service), w.starts.get()), (3, before));
+        w.assert_kept();
+    });
+}
+
+#[test]
+fn a_sick_machine_goes_back_and_its_work_is_done_elsewhere() {
+    in_world(|| async {
+        let w = World::new(9).await;
+        let first = w.submit(job(1, "batch", 4, 2.0)).await;
+        w.until(&first, "done", 100).await;
+        let name = w
+            .workers
+            .borrow()
+            .keys()
+            .next()
+            .cloned()
+            .expect("a machine");
+        w.workers.borrow()[&name].0.sick.set(true);
+        for n in 2..6 {
+            w.submit(job(n, "batch", 4, 2.0)).await;
+        }
+        for n in 2..6 {
+            w.until(&format!("job-{n:06}"), "done", 300).await;
+        }
+        assert!(!w.workers.borrow().contains_key(&name), "still rented");
+        w.assert_kept();
+    });
+}
+
+#[test]
+fn operators_are_told_what_is_undone_and_why() {
+    in_world(|| async {
+        let w = World::new(10).await;
+        let big = w.submit(job(1, "gang", 6, 300.0)).await;
+        w.until(&big, "running", 100).await;
+        let second = w.submit(job(2, "gang", 2, 5.0)).await;
+        sleep(Duration::from_secs(5)).await;
+        for i in 0..CONTROLLERS {
+            let (status, report) = w.ask(i, "GET", "/ops/report", None).await;
+            assert_eq!(
+                (status, &report["unfinished"]),
+                (200, &json!(2)),
+                "{report}"
+            );
+            let jobs = report["jobs"].as_array().expect("jobs");
+            let told = jobs
+                .iter()
+                .find(|j| j["job"] == second.as_str())
+                .expect("second");
+            assert_eq!(told["reason"], "its team is at its limit", "{told}");
+            let (_, teams) = w.ask(i, "GET", "/ops/teams", None).await;
+            assert_eq!(teams[0]["cpus_used"], 12.0);
+            assert_eq!(teams[0]["cpus_borrowed"], 4.0);
+            assert_eq!(teams[0]["why"], "its team is at its limit");
+        }
+        let (_, story) = w.ask(0, "GET", &format!("/ops/job/{big}"), None).await;
+        assert_eq!(
+            (&story["running"], &story["stage"]),
+            (&json!(6), &json!("running"))
+        );
+        w.assert_kept();
+    });
+}
--- /dev/null
+++ b/tests/stand_ins/mod.rs
@@ -0,0 +1,696 @@
+//! Stand-ins for what the service talks to: state service, cloud, workers.
+//! They speak the protocol over a fabric inside the process, in simulated
+//! time, and they watch the rules that tests assert on.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use shelfhoist::http::{Client, Request, Response, ServerLimits, query_value, serve};
+use shelfhoist::net::{Fabric, Net};
+use shelfhoist::node::Node;
+use shelfhoist::settings::Settings;
+use shelfhoist::wire::*;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+pub const CONTROLLERS: usize = 3;
+const STATE: &str = "10.2.0.1:1";
+const CLOUD: &str = "10.2.0.2:1";
+const USERS: &str = "10.3.0.1:1";
+
+pub fn addr(text: &str) -> SocketAddrV4 {
+    text.parse().expect("address")
+}
+
+pub fn controller(i: usize) -> SocketAddrV4 {
+    addr(&format!("10.0.0.{}:8080", i + 1))
+}
+
+fn mesh(i: usize) -> String {
+    format!("10.0.0.{}:8081", i + 1)
+}
+
+pub fn settings(i: usize) -> Settings {
+    let others: Vec<Value> = (0..CONTROLLERS)
+        .filter(|j| *j != i)
+        .map(|j| json!({"node": format!("n{j}"), "location": "a", "addr": mesh(j)}))
+        .collect();
+    let text = json!({
+        "node": format!("n{i}"), "location": "a",
+        "serve_on": controller(i).to_string(), "mesh_addr": mesh(i), "others": others,
+        "external": {"cloud": CLOUD, "state": STATE},
+        "deployment": {
+            "count": CONTROLLERS, "zones": ["a", "b"],
+            "teams": [{"name": "t", "cpus": 8.0, "cpus_max": 12.0},
+                      {"name": "u", "cpus": 4.0, "cpus_max": 8.0}],
+            "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 20.0,
+                        "gang_peer_s": 5.0, "cancel_s": 30.0},
+            "state": {"rps": 150.0, "write_rps": 90.0, "value_kb": 8.0, "txn_ops": 12},
+            "cloud": {"rps": 5.0, "list_lag_s": 5.0},
+            "machine_limits": {"cpu": 0.1, "memory_mb": 64.0, "sockets": 500}
+        }
+    });
+    Settings::parse(&text.to_string()).expect("settings")
+}
+
+/// What the state service is to do with the commits that come next.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum Trouble {
+    #[default]
+    None,
+    /// Carried out, but the answer is lost.
+    LoseAnswers,
+    /// Carried out some seconds later, and no answer.
+    Late,
+    /// Refused, as in an outage.
+    Down,
+}
+
+#[derive(Default)]
+pub struct State {
+    pairs: RefCell<BTreeMap<String, (Value, u64)>>,
+    log: RefCell<Vec<Value>>,
+    revision: watch::Sender<u64>,
+    pub trouble: Cell<Trouble>,
+    /// How many commits the trouble still meets.
+    pub troubled: Cell<usize>,
+    next_hold: Cell<u64>,
+}
+
+impl State {
+    fn answer(self: Rc<Self>, r: Request) -> shelfhoist::http::Answer {
+        Box::pin(async move {
+            if self.trouble.get() == Trouble::Down {
+                return Response::empty(503);
+            }
+            let body: Value = serde_json::from_slice(&r.body).unwrap_or_default();
+            match (r.method.as_str(), r.path.as_str()) {
+                ("GET", "/store") => self.list(&r.query),
+                ("GET", "/watch") => self.watch(&r.query).await,
+                ("GET", path) => {
+                    let key = path.trim_start_matches("/store/");
+                    match self.pairs.borrow().get(key) {
+                        Some((v, n)) => {
+                            Response::json(200, &json!({"key": key, "value": v, "stamp": n}))
+                        }
+                        None => {
+                            Response::json(404, &json!({"ledger_rev": *self.revision.borrow()}))
+                        }
+                    }
+                }
+                ("POST", "/commit") => self.commit(body).await,
+                ("POST", "/holds") => {
+                    // Leases of the stand-in last as long as it does.
+                    self.next_hold.set(self.next_hold.get() + 1);
+                    Response::json(200, &json!({"permit": self.next_hold.get()}))
+                }
+                _ => Response::empty(200),
+            }
+        })
+    }
+
+    async fn commit(&self, body: Value) -> Response {
+        if self.troubled.get() > 0 {
+            self.troubled.set(self.troubled.get() - 1);
+            match self.trouble.get() {
+                Trouble::LoseAnswers => {
+                    self.apply(&body);
+                    std::future::pending::<()>().await;
+                }
+                Trouble::Late => {
+                    sleep(Duration::from_secs(3)).await;
+                    self.apply(&body);
+                    std::future::pending::<()>().await;
+                }
+                _ => {}
+            }
+        }
+        self.apply(&body)
+    }
+
+    fn apply(&self, body: &Value) -> Response {
+        let mut pairs = self.pairs.borrow_mut();
+        let empty = vec![];
+        let guards = body["guards"].as_array().unwrap_or(&empty);
+        let failed: Vec<&str> = guards
+            .iter()
+            .filter_map(|g| {
+                let key = g["key"].as_str()?;
+                let now = pairs.get(key).map_or(0, |p| p.1);
+                (g["stamp"].as_u64() != Some(now)).then_some(key)
+            })
+            .collect();
+        let at = *self.revision.borrow();
+        if !failed.is_empty() {
+            return Response::json(409, &json!({"failed": failed, "ledger_rev": at}));
+        }
+        let writes = body["writes"].as_array().unwrap_or(&empty);
+        assert!(writes.len() <= 12, "txn_ops");
+        if writes.is_empty() {
+            return Response::json(200, &json!({"ledger_rev": at}));
+        }
+        let at = at + 1;
+        for w in writes {
+            let event = if let Some(key) = w["set"].as_str() {
+                assert!(w["value"].to_string().len() <= 8192, "value_kb: {key}");
+                pairs.insert(key.to_string(), (w["value"].clone(), at));
+                json!({"set": key, "value": w["value"], "stamp": at})
+            } else {
+                let key = w["remove"].as_str().expect("set or remove");
+                pairs.remove(key);
+                json!({"remove": key, "stamp": at})
+            };
+            self.log.borrow_mut().push(event);
+        }
+        drop(pairs);
+        self.revision.send_replace(at);
+        Response::json(200, &json!({"ledger_rev": at}))
+    }
+
+    fn list(&self, query: &str) -> Response {
+        let prefix = query_value(query, "prefix").unwrap_or("");
+        let pairs: Vec<Value> = self
+            .pairs
+            .borrow()
+            .iter()
+            .filter(|(k, _)| k.starts_with(prefix))
+            .map(|(k, (v, n))| json!({"key": k, "value": v, "stamp": n}))
+            .collect();
+        let at = *self.revision.borrow();
+        Response::json(
+            200,
+            &json!({"pairs": pairs, "truncated": false, "ledger_rev": at}),
+        )
+    }
+
+    async fn watch(&self, query: &str) -> Response {
+        let number = |name| query_value(query, name).and_then(|v| v.parse::<u64>().ok());
+        let after = number("after").unwrap_or(0);
+        let block = Duration::from_millis(number("block_ms").unwrap_or(0));
+        let mut changed = self.revision.subscribe();
+        let _ = timeout(block, changed.wait_for(|r| *r > after)).await;
+        let log = self.log.borrow();
+        let news = log.iter().filter(|e| e["stamp"].as_u64() > Some(after));
+        let events: Vec<&Value> = news.collect();
+        let at = *self.revision.borrow();
+        Response::json(200, &json!({"ledger_rev": at, "events": events}))
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Task {
+    attempt: u64,
+    ends: Option<Instant>,
+    why: Option<Why>,
+}
+
+/// One machine's worker, by the protocol's rules for tokens and leases.
+pub struct Worker {
+    name: String,
+    kind: String,
+    zone: String,
+    port: SocketAddrV4,
+    token: Cell<u64>,
+    session: Cell<u64>,
+    seq: Cell<u64>,
+    renewed: Cell<Instant>,
+    tasks: RefCell<BTreeMap<String, Task>>,
+    /// Rejects every task it starts.
+    pub sick: Cell<bool>,
+}
+
+impl Worker {
+    fn report(&self) -> Value {
+        self.seq.set(self.seq.get() + 1);
+        let now = Instant::now();
+        let tasks: Vec<Value> = self
+            .tasks
+            .borrow()
+            .iter()
+            .map(|(id, t)| match (t.why, t.ends) {
+                (Some(why), _) => {
+                    json!({"board": id, "try": t.attempt, "stage": "ended", "cause": why})
+                }
+                (None, Some(e)) if e <= now => {
+                    json!({"board": id, "try": t.attempt, "stage": "ended", "cause": "done"})
+                }
+                _ => json!({"board": id, "try": t.attempt, "stage": "running"}),
+            })
+            .collect();
+        json!({"bay": self.name, "endpoint": self.port.to_string(), "grade": self.kind,
+            "yard": self.zone, "loaners": false, "shift": self.session.get(),
+            "tally": self.seq.get(), "baton": self.token.get(), "recall_s": null, "boards": tasks})
+    }
+
+    fn execute(&self, world: &World, orders: &[Order]) {
+        for o in orders {
+            let mut tasks = self.tasks.borrow_mut();
+            match o.verb {
+                Verb::Start => {
+                    if tasks.get(&o.task).is_some_and(|t| t.attempt == o.attempt) {
+                        continue;
+                    }
+                    let run = world.run_time(&o.task);
+                    let why = self.sick.get().then_some(Why::Error);
+                    let ends = run.map(|r| Instant::now() + r);
+                    let attempt = o.attempt;
+                    tasks.insert(o.task.clone(), Task { attempt, ends, why });
+                    drop(tasks);
+                    world.started(&o.task, &self.name);
+                }
+                Verb::Stop => {
+                    if let Some(t) = tasks.get_mut(&o.task)
+                        && t.attempt == o.attempt
+                        && t.why.is_none()
+                        && t.ends.is_none_or(|e| e > Instant::now())
+                    {
+                        t.why = Some(Why::Stopped);
+                    }
+                }
+                Verb::Forget => {
+                    tasks.remove(&o.task);
+                }
+            }
+        }
+    }
+
+    fn runs(&self, task: &str) -> bool {
+        let now = Instant::now();
+        let tasks = self.tasks.borrow();
+        let here = tasks.get(task);
+        here.is_some_and(|t| t.why.is_none() && t.ends.is_none_or(|e| e > now))
+    }
+
+    fn expire(&self, lease: Duration) {
+        if self.renewed.get().elapsed() > lease {
+            self.tasks.borrow_mut().clear();
+            self.session.set(self.session.get() + 1);
+            self.renewed.set(Instant::now());
+        }
+    }
+}
+
+/// A worker with the loops that drive it.
+type Rented = (Rc<Worker>, Vec<JoinHandle<()>>);
+
+pub struct World {
+    pub fabric: Rc<Fabric>,
+    pub state: Rc<State>,
+    pub workers: RefCell<BTreeMap<String, Rented>>,
+    jobs: RefCell<HashMap<String, Value>>,
+    cancelled: RefCell<HashMap<String, Instant>>,
+    hires: RefCell<HashMap<String, Value>>,
+    pub broken: RefCell<Vec<String>>,
+    pub starts: Cell<usize>,
+    controllers: RefCell<Vec<Option<JoinHandle<()>>>>,
+    client: Client,
+    seed: u64,
+}
+
+const LIMITS: ServerLimits = ServerLimits {
+    connections: 1000,
+    idle: Duration::from_secs(600),
+    arrive: Duration::from_secs(60),
+};
+
+impl World {
+    pub async fn new(seed: u64) -> Rc<Self> {
+        let fabric = Rc::new(Fabric::default());
+        let client = Client::new(
+            Net::Fabric(fabric.clone(), addr(USERS)),
+            Duration::from_secs(1),
+        );
+        let world = Rc::new(World {
+            fabric: fabric.clone(),
+            state: Rc::default(),
+            workers: RefCell::default(),
+            jobs: RefCell::default(),
+            cancelled: RefCell::default(),
+            hires: RefCell::default(),
+            broken: RefCell::default(),
+            starts: Cell::new(0),
+            controllers: RefCell::new((0..CONTROLLERS).map(|_| None).collect()),
+            client,
+            seed,
+        });
+        let net = |a: &str| Net::Fabric(fabric.clone(), addr(a));
+        let (state, cloud) = (world.state.clone(), world.clone());
+        let listener = net(STATE).listen(addr(STATE)).await.expect("listen");
+        spawn_local(serve(
+            listener,
+            LIMITS,
+            Rc::new(move |r| state.clone().answer(r)),
+        ));
+        let listener = net(CLOUD).listen(addr(CLOUD)).await.expect("listen");
+        spawn_local(serve(
+            listener,
+            LIMITS,
+            Rc::new(move |r| cloud.clone().cloud(r)),
+        ));
+        for i in 0..CONTROLLERS {
+            world.start(i);
+        }
+        let watcher = world.clone();
+        spawn_local(async move {
+            loop {
+                sleep(Duration::from_millis(100)).await;
+                watcher.check();
+            }
+        });
+        world
+    }
+
+    pub fn start(&self, i: usize) {
+        let net = Net::Fabric(self.fabric.clone(), controller(i));
+        let node = Node::new(settings(i), net, self.seed + i as u64);
+        // A set of its own: all that the controller spawned ends with it.
+        let set = LocalSet::new();
+        set.spawn_local(async move {
+            let _ = node.run().await;
+        });
+        self.controllers.borrow_mut()[i] = Some(spawn_local(set));
+    }
+
+    pub fn kill(&self, i: usize) {
+        if let Some(task) = self.controllers.borrow_mut()[i].take() {
+            task.abort();
+        }
+        self.fabric.close(controller(i));
+        self.fabric.close(addr(&mesh(i)));
+    }
+
+    fn run_time(&self, task: &str) -> Option<Duration> {
+        let jobs = self.jobs.borrow();
+        let job = jobs.get(task.split('/').next().unwrap_or(""))?;
+        let run = job["expect_s"].as_f64().unwrap_or(0.0);
+        (job["cut"] != "daemon").then(|| Duration::from_secs_f64(run))
+    }
+
+    fn started(&self, task: &str, machine: &str) {
+        self.starts.set(self.starts.get() + 1);
+        for (name, (w, _)) in self.workers.borrow().iter() {
+            if name != machine && w.runs(task) {
+                let mut broken = self.broken.borrow_mut();
+                broken.push(format!("ran_twice: {task} on {machine} and {name}"));
+            }
+        }
+    }
+
+    /// Rules that hold at every moment.
+    fn check(&self) {
+        let mut used: HashMap<String, f64> = HashMap::new();
+        let jobs = self.jobs.borrow();
+        for (name, (w, _)) in self.workers.borrow().iter() {
+            let ids: Vec<String> = w.tasks.borrow().keys().cloned().collect();
+            for task in ids.iter().filter(|t| w.runs(t)) {
+                let id = task.split('/').next().unwrap_or("");
+                let job = &jobs[id];
+                *used.entry(job["crew"].to_string()).or_default() +=
+                    job["vcpus"].as_f64().unwrap_or(0.0);
+                let told = self.cancelled.borrow().get(id).copied();
+                if told.is_some_and(|t| t.elapsed() > Duration::from_secs(30)) {
+                    self.broken
+                        .borrow_mut()
+                        .push(format!("ran_cancelled: {task} on {name}"));
+                }
+            }
+        }
+        for (team, limit) in [("\"t\"", 12.0), ("\"u\"", 8.0)] {
+            if used.get(team).is_some_and(|u| *u > limit) {
+                self.broken
+                    .borrow_mut()
+                    .push(format!("quota: {team} {used:?}"));
+            }
+        }
+    }
+
+    fn cloud(self: Rc<Self>, r: Request) -> shelfhoist::http::Answer {
+        Box::pin(async move {
+            let body: Value = serde_json::from_slice(&r.body).unwrap_or_default();
+            match (r.method.as_str(), r.path.as_str()) {
+                ("GET", "/flavors") => {
+                    let t = |name: &str, vcpus: f64| {
+                        json!({"label": name, "vcpus": vcpus, "cards": 0.0, "ram_gb": 16.0,
+                            "local_gb": 50.0, "pull_gb_per_s": 1.0, "hourly": vcpus / 10.0,
+                            "spot_price": vcpus / 30.0, "ready_s": 4.0, "yards": ["a", "b"]})
+                    };
+                    Response::json(200, &json!({"grades": [t("small", 4.0), t("big", 8.0)]}))
+                }
+                ("POST", "/rentals") => {
+                    let hire = body["hire"].as_str().unwrap_or("").to_string();
+                    if let Some(known) = self.hires.borrow().get(&hire) {
+                        return Response::json(200, known);
+                    }
+                    let names: Vec<String> = (0..body["number"].as_u64().unwrap_or(0))
+                        .map(|_| self.boot(&body))
+                        .collect();
+                    let answer = json!({"bays": names});
+                    self.hires.borrow_mut().insert(hire, answer.clone());
+                    Response::json(200, &answer)
+                }
+                ("POST", "/rentals/return") => {
+                    for name in body["bays"].as_array().into_iter().flatten() {
+                        self.lose(name.as_str().unwrap_or(""));
+                    }
+                    Response::empty(200)
+                }
+                _ => {
+                    let after = query_value(&r.query, "after").unwrap_or("");
+                    let workers = self.workers.borrow();
+                    let bays: Vec<Value> = workers
+                        .iter()
+                        .filter(|(n, _)| n.as_str() > after)
+                        .map(|(n, (w, _))| {
+                            json!({"name_id": n, "endpoint": w.port.to_string(), "grade": w.kind,
+                                "yard": w.zone, "loaners": false, "stage": "running", "age_s": 1.0})
+                        })
+                        .collect();
+                    Response::json(200, &json!({"bays": bays, "truncated": false}))
+                }
+            }
+        })
+    }
+
+    fn boot(self: &Rc<Self>, body: &Value) -> String {
+        let n = self.hires.borrow().len() * 50 + self.workers.borrow().len();
+        let name = format!("host-{n:06}");
+        let worker = Rc::new(Worker {
+            name: name.clone(),
+            kind: body["grade"].as_str().unwrap_or("").to_string(),
+            zone: body["yard"].as_str().unwrap_or("").to_string(),
+            port: addr(&format!("10.1.{}.{}:9000", n / 250, n % 250 + 1)),
+            token: Cell::new(0),
+            session: Cell::new(1),
+            seq: Cell::new(0),
+            renewed: Cell::new(Instant::now()),
+            tasks: RefCell::default(),
+            sick: Cell::new(false),
+        });
+        let tasks = vec![
+            spawn_local(self.clone().listen(worker.clone())),
+            spawn_local(self.clone().beat(worker.clone())),
+        ];
+        self.workers
+            .borrow_mut()
+            .insert(name.clone(), (worker, tasks));
+        name
+    }
+
+    /// The machine and all on it are gone at once.
+    pub fn lose(&self, name: &str) {
+        if let Some((worker, tasks)) = self.workers.borrow_mut().remove(name) {
+            self.fabric.close(worker.port);
+            tasks.iter().for_each(JoinHandle::abort);
+        }
+    }
+
+    async fn listen(self: Rc<Self>, worker: Rc<Worker>) {
+        let net = Net::Fabric(self.fabric.clone(), worker.port);
+        let listener = net.listen(worker.port).await.expect("listen");
+        let handler = Rc::new(move |r: Request| -> shelfhoist::http::Answer {
+            let (world, w) = (self.clone(), worker.clone());
+            Box::pin(async move {
+                let Ok(orders) = serde_json::from_slice::<Orders>(&r.body) else {
+                    return Response::empty(400);
+                };
+                if orders.token < w.token.get() || orders.session != w.session.get() {
+                    return Response::json(409, &w.report());
+                }
+                w.token.set(orders.token);
+                w.execute(&world, &orders.orders);
+                Response::json(200, &w.report())
+            })
+        });
+        serve(listener, LIMITS, handler).await;
+    }
+
+    async fn beat(self: Rc<Self>, w: Rc<Worker>) {
+        sleep(Duration::from_secs(4)).await;
+        w.renewed.set(Instant::now());
+        let net = Net::Fabric(self.fabric.clone(), w.port);
+        let client = Client::new(net, Duration::from_secs(30));
+        let mut to = w.port.ip().octets()[3] as usize % CONTROLLERS;
+        loop {
+            w.expire(Duration::from_secs(10));
+            let session = w.session.get();
+            let sent = Instant::now();
+            let body = serde_json::to_vec(&w.report()).expect("report");
+            let call = client.call(
+                controller(to),
+                "POST",
+                "/agent/beat",
+                Some(body),
+                Duration::from_secs(4),
+            );
+            let answer = call.await;
+            w.expire(Duration::from_secs(10));
+            match answer {
+                Ok(r) if r.status == 200 => {
+                    let a: BeatAnswer = r.parse().expect("answer");
+                    if a.token >= w.token.get() && session == w.session.get() {
+                        let news = a.token > w.token.get();
+                        w.token.set(a.token);
+                        w.renewed.set(sent);
+                        w.execute(&self, &a.orders);
+                        if news {
+                            sleep(Duration::from_millis(500)).await;
+                            continue;
+                        }
+                    }
+                    sleep(Duration::from_secs(1)).await;
+                }
+                Ok(r) if r.status == 421 => {
+                    let foreman = r.parse::<Redirect>().ok().and_then(|r| r.report_to);
+                    let named = foreman.and_then(|f| f.trim_start_matches('n').parse().ok());
+                    to = named.unwrap_or((to + 1) % CONTROLLERS);
+                    sleep(Duration::from_millis(300)).await;
+                }
+                _ => {
+                    to = (to + 1) % CONTROLLERS;
+                    sleep(Duration::from_secs(1)).await;
+                }
+            }
+        }
+    }
+
+    // --- users ---------------------------------------------------------------
+
+    pub async fn ask(
+        &self,
+        i: usize,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> (u16, Value) {
+        let body = body.map(|b| b.to_string().into_bytes());
+        let call = self
+            .client
+            .call(controller(i), method, path, body, Duration::from_secs(5));
+        match call.await {
+            Ok(r) => (r.status, r.parse().unwrap_or_default()),
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    /// Submits until it is accepted, to whichever controller answers.
+    pub async fn submit(&self, job: Value) -> String {
+        let id = job["name_id"].as_str().expect("id").to_string();
+        self.jobs.borrow_mut().insert(id.clone(), job.clone());
+        for i in 0..60 {
+            let (status, _) = self
+                .ask(i % CONTROLLERS, "POST", "/submissions", Some(&job))
+                .await;
+            if status == 200 || status == 201 {
+                return id;
+            }
+            assert!([0, 503].contains(&status), "{id}: {status}");
+            sleep(Duration::from_secs(1)).await;
+        }
+        panic!("{id} was not accepted");
+    }
+
+    pub async fn stage(&self, i: usize, id: &str) -> Option<String> {
+        let (status, body) = self
+            .ask(i, "GET", &format!("/submissions/{id}"), None)
+            .await;
+        (status == 200).then(|| body["stage"].as_str().unwrap_or("").to_string())
+    }
+
+    /// Polls until all controllers that answer say `stage`.
+    pub async fn until(&self, id: &str, stage: &str, limit: u64) {
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_secs(limit) {
+            for i in 0..CONTROLLERS {
+                if self.stage(i, id).await.as_deref() == Some(stage) {
+                    return;
+                }
+            }
+            sleep(Duration::from_secs(1)).await;
+        }
+        panic!(
+            "{id} is not {stage} after {limit} s: {:?}",
+            self.stage(0, id).await
+        );
+    }
+
+    pub async fn withdraw(&self, i: usize, id: &str) -> Option<String> {
+        let (status, body) = self
+            .ask(i, "POST", &format!("/submissions/{id}/withdraw"), None)
+            .await;
+        if status != 200 {
+            return None;
+        }
+        let stage = body["stage"].as_str().unwrap_or("").to_string();
+        if stage == "aborted" {
+            self.cancelled
+                .borrow_mut()
+                .insert(id.to_string(), Instant::now());
+        }
+        Some(stage)
+    }
+
+    pub fn running(&self, id: &str) -> usize {
+        let workers = self.workers.borrow();
+        workers
+            .values()
+            .map(|(w, _)| {
+                let ids: Vec<String> = w.tasks.borrow().keys().cloned().collect();
+                ids.iter()
+                    .filter(|t| t.starts_with(&format!("{id}/")) && w.runs(t))
+                    .count()
+            })
+            .sum()
+    }
+
+    pub fn assert_kept(&self) {
+        assert!(
+            self.broken.borrow().is_empty(),
+            "{:?}",
+            self.broken.borrow()
+        );
+        assert!(self.starts.get() > 0, "nothing_ran");
+    }
+}
+
+pub fn job(n: u32, cut: &str, tasks: u32, run_s: f64) -> Value {
+    json!({"name_id": format!("job-{n:06}"), "lot": "x", "crew": "t", "cut": cut,
+        "urgency": "normal", "boards": tasks, "vcpus": 2.0, "cards": 0.0, "ram_gb": 1.0,
+        "blueprint": "i", "pull_gb": 1.0, "grades": null, "yard": null, "same_place": false,
+        "scatter": false, "loaners": false, "expect_s": run_s, "notch_s": 0.0, "stow_s": 0.0,
+        "due_s": null})
+}
+
+/// Runs a test's world in simulated time.
+pub fn in_world<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("runtime");
+    LocalSet::new().block_on(&runtime, async { test().await });
+}
