--- a/src/admission.rs
+++ b/src/admission.rs
@@ -527,6 +527,7 @@
     if victim.priority < job.priority {
         return true;
     }
-    // Borrowed work of another team goes back for a guarantee.
-    job_in_guarantee && victim_borrows && victim.team != job.team
+    // Borrowed work of another team goes back for a guarantee, but for
+    // services: what people use now is not ended for what is to begin.
+    job_in_guarantee && victim_borrows && victim.team != job.team && victim.kind != Kind::Service
 }
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -333,6 +333,14 @@
                     Outcome::Lost => {}
                 }
             }
+            tracing::debug!(
+                job = key.job,
+                task = key.task,
+                attempt = key.attempt,
+                machine = key.machine,
+                ?outcome,
+                "ended"
+            );
             queue.insert(key, outcome);
         }
         self.ends_wanted.notify_one();
@@ -634,6 +642,9 @@
                 continue;
             };
             hand.in_flight = true;
+            for o in &plan.orders {
+                tracing::debug!(verb = ?o.verb, task = o.task, attempt = o.attempt, machine = id, "order");
+            }
             note_orders(hand, &plan.orders, now);
             let body = Orders {
                 token: hand.token,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -484,7 +484,12 @@
         for run in entry.value.runs.iter().filter(|r| !r.stop) {
             let slot = view.slot(&run.zone, &run.machine);
             if slot.is_some_and(|s| spec.allows(&s.kind, &run.zone, s.spot)) {
-                let order = (victim.priority, std::cmp::Reverse(entry.value.born));
+                let no_image = !view.has_image(&run.machine, &spec.image);
+                let order = (
+                    victim.priority,
+                    no_image,
+                    std::cmp::Reverse(entry.value.born),
+                );
                 candidates.push((order, other, run, victim));
             }
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -683,6 +683,14 @@
         (("t", Normal), true, ("t", Normal), true, false),
         (("t", Low), false, ("u", High), true, false),
     ];
+    let service = Spec {
+        kind: Kind::Service,
+        ..with("u", Production)
+    };
+    assert!(
+        !admission::may_preempt(&with("t", High), true, &service, true),
+        "a service is not ended for a guarantee"
+    );
     for (job, inside, victim, borrows, expected) in cases {
         let got = admission::may_preempt(
             &with(job.0, job.1),
