--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -44,6 +44,7 @@
     extended: Option<Instant>,
     listed_at: Option<Instant>,
     described_at: Option<Instant>,
+    consolidated_at: Option<Instant>,
     types_at: Option<Instant>,
     /// The cloud is left alone until then.
     cloud_pause: Option<Instant>,
@@ -398,6 +399,7 @@
     read_list(node).await;
     send_away(node, judge(node)).await;
     resolve_hires(node).await;
+    consolidate(node).await;
     let hires = demand(node);
     if hires.is_empty() {
         return;
@@ -427,6 +429,139 @@
     }
 }
 
+/// Empties a machine whose accelerators nobody needs, when the services that
+/// keep it rented have room elsewhere: they move, and it goes back.
+async fn consolidate(node: &Node) {
+    let pause = node.settings.lease();
+    let due = node
+        .fleet
+        .borrow()
+        .consolidated_at
+        .is_none_or(|t| t.elapsed() > pause);
+    if !due {
+        return;
+    }
+    let Some((id, guards, writes)) = movable(node) else {
+        return;
+    };
+    node.fleet.borrow_mut().consolidated_at = Some(Instant::now());
+    let moved = writes.len().saturating_sub(2);
+    match node.commit(Class::Room, guards, writes).await {
+        Ok(_) => tracing::info!(machine = id, services = moved, "emptied: its services move"),
+        Err(error) => tracing::debug!(machine = id, %error, "not emptied"),
+    }
+}
+
+fn movable(node: &Node) -> Option<(String, Vec<Guard>, Vec<Write>)> {
+    let view = node.view.borrow();
+    let settings = &node.settings;
+    let gpu = view.gpu_spec.as_ref()?;
+    let waits = |id: &String| {
+        let job = view.jobs.get(id).map(|e| &e.value);
+        job.is_some_and(|j| j.waiting() > 0 && j.spec.as_ref().is_some_and(|s| s.need.gpus.0 > 0))
+    };
+    if view.open.iter().any(|(_, id)| waits(id)) {
+        return None;
+    }
+    let ops = settings.deployment.state.txn_ops;
+    let plan = Plan::of(&view);
+    // Places that stay for work on accelerators: two of its usual jobs'.
+    let spare = |plan: &Plan| -> usize {
+        plan.zones
+            .iter()
+            .flat_map(|(z, zone)| zone.machines.values().map(move |s| (z, s)))
+            .filter(|(z, s)| gpu.allows(&s.kind, z, s.spot))
+            .map(|(_, s)| s.free.slots(&gpu.need))
+            .sum()
+    };
+    let hints = Hints { view: &view };
+    let mut best: Option<(f64, &String, Vec<&str>)> = None;
+    for (id, entry) in &view.machines {
+        let m = &entry.value;
+        let Some(kind) = view.type_of(&m.kind) else {
+            continue;
+        };
+        if m.life != Life::Active || kind.gpus <= 0.0 {
+            continue;
+        }
+        let jobs: Vec<&str> = view.jobs_on(id).map(|(job, _)| job).collect();
+        let all_services = view.jobs_on(id).all(|(_, e)| {
+            let spec = e.value.spec.as_ref();
+            e.value.is_open() && spec.is_some_and(|s| s.kind == Kind::Service)
+        });
+        if jobs.is_empty() || !all_services || jobs.len() + 2 > ops {
+            continue;
+        }
+        let mut without = plan.clone();
+        if let Some(zone) = without.zones.get_mut(&m.zone) {
+            zone.machines.remove(id);
+        }
+        if spare(&without) < 2 * gpu.tasks as usize {
+            continue;
+        }
+        let fits = jobs.iter().all(|job| {
+            let mut moved = view.jobs[*job].value.clone();
+            let Some(spec) = moved.spec.clone() else {
+                return false;
+            };
+            // What it would be after the stop: those tasks wait.
+            let mut count = 0;
+            for run in view.jobs[*job]
+                .value
+                .runs
+                .iter()
+                .filter(|r| r.machine == *id)
+            {
+                for task in run.tasks.iter() {
+                    moved.release(id, run.attempt, task, crate::model::Outcome::Lost);
+                    count += 1;
+                }
+            }
+            without.teams.entry(spec.team.clone()).and_modify(|used| {
+                *used -= spec.need.times(count);
+            });
+            match admission::fit(&moved, &spec, &without, &hints, settings, Care::Strict) {
+                Ok(places) if places.len() >= count => {
+                    for p in &places {
+                        without.take(&p.zone, &p.machine, &spec.team, spec.need);
+                    }
+                    true
+                }
+                _ => false,
+            }
+        });
+        let gain = cost(kind, m.spot) / jobs.len() as f64;
+        if fits && best.as_ref().is_none_or(|(g, _, _)| gain > *g) {
+            best = Some((gain, id, jobs));
+        }
+    }
+    let (_, id, jobs) = best?;
+    let entry = view.machines.get(id)?;
+    let mut machine = entry.value.clone();
+    machine.life = Life::Draining;
+    let zone = view.zones.get(&machine.zone)?;
+    let mut record = zone.value.clone();
+    record.machines.remove(id);
+    let mut guards = vec![
+        guard(machine_key(id), entry.version),
+        guard(zone_key(&machine.zone), zone.version),
+    ];
+    let mut writes = vec![
+        put(machine_key(id), &machine),
+        put(zone_key(&machine.zone), &record),
+    ];
+    for job_id in jobs {
+        let mut job = view.jobs[job_id].value.clone();
+        for run in job.runs.iter_mut().filter(|r| r.machine == *id) {
+            run.stop = true;
+        }
+        job.cleared = true;
+        guards.push(guard(job_key(job_id), view.job_version(job_id)));
+        writes.push(put(job_key(job_id), &job));
+    }
+    Some((id.clone(), guards, writes))
+}
+
 /// Calls the cloud for every recorded rental until it has answered: repeating
 /// a request by its name rents nothing twice.
 async fn resolve_hires(node: &Node) {
