Headroom: places for one more gang stand ready while gangs are open

Cause: a gang that finds no machine waits for a boot, longer than its class's aim. Kept, as the policy's rule `headroom`.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -14,7 +14,7 @@
 
 use crate::admission::{self, Care, Hints, Plan};
 use crate::http::Response;
-use crate::model::{Hire, Life, Machine, Renter, Room, Slot, Spec, Types};
+use crate::model::{Hire, Job, Life, Machine, Renter, Room, Slot, Spec, Types};
 use crate::node::{Node, guard, put};
 use crate::policy::MachineFacts;
 use crate::store::{Class, StoreError};
@@ -466,14 +466,6 @@
     let ops = settings.deployment.state.txn_ops;
     let plan = Plan::of(&view);
     // Places that stay for work on accelerators: two of its usual jobs'.
-    let spare = |plan: &Plan| -> usize {
-        plan.zones
-            .iter()
-            .flat_map(|(z, zone)| zone.machines.values().map(move |s| (z, s)))
-            .filter(|(z, s)| gpu.allows(&s.kind, z, s.spot))
-            .map(|(_, s)| s.free.slots(&gpu.need))
-            .sum()
-    };
     let hints = Hints { view: &view };
     let mut best: Option<(f64, &String, Vec<&str>)> = None;
     for (id, entry) in &view.machines {
@@ -496,7 +488,7 @@
         if let Some(zone) = without.zones.get_mut(&m.zone) {
             zone.machines.remove(id);
         }
-        if spare(&without) < 2 * gpu.tasks as usize {
+        if spare_places(&view, &without) < 2 * gpu.tasks as usize {
             continue;
         }
         let fits = jobs.iter().all(|job| {
@@ -805,12 +797,47 @@
     leaving
 }
 
+/// How many tasks of the accelerators' usual shape there should be places
+/// for beyond those that run: none when no such job is open.
+fn headroom(node: &Node, view: &View, plan: &Plan) -> usize {
+    let Some(gpu) = &view.gpu_spec else {
+        return 0;
+    };
+    let open = view.open.iter().any(|(_, id)| {
+        let spec = view.jobs.get(id).and_then(|e| e.value.spec.as_ref());
+        spec.is_some_and(|s| s.need.gpus.0 > 0)
+    });
+    if !open {
+        return 0;
+    }
+    let next = Job::new(gpu.clone(), 0);
+    let facts = admission::facts(&next, gpu, plan, &node.settings, view, 0.0);
+    let jobs = node.settings.policy.headroom(&facts);
+    (jobs * f64::from(gpu.tasks)).round() as usize
+}
+
+/// Free places of the accelerators' usual shape.
+fn spare_places(view: &View, plan: &Plan) -> usize {
+    let Some(gpu) = &view.gpu_spec else {
+        return 0;
+    };
+    plan.zones
+        .iter()
+        .flat_map(|(z, zone)| zone.machines.values().map(move |s| (z, s)))
+        .filter(|(z, s)| gpu.allows(&s.kind, z, s.spot))
+        .map(|(_, s)| s.free.slots(&gpu.need))
+        .sum()
+}
+
 /// Machines that the renter sends away, and why.
 fn judge(node: &Node) -> Vec<(String, Life, &'static str)> {
     let now = Instant::now();
     let view = node.view.borrow();
     let mut fleet = node.fleet.borrow_mut();
     let orphaned = node.settings.lease() * 2;
+    let plan = Plan::of(&view);
+    let kept = headroom(node, &view, &plan);
+    let mut spare = spare_places(&view, &plan);
     let mut leaving = Vec::new();
     for (id, entry) in &view.machines {
         let m = &entry.value;
@@ -858,6 +885,17 @@
                 if m.life == Life::Draining {
                     leaving.push((id.clone(), Life::Returning, "drained"));
                 } else if idle > Duration::from_secs_f64(policy.idle_s(&facts)) {
+                    // What stands ready for the next gang stays.
+                    if kind.gpus > 0.0
+                        && let Some(gpu) = &view.gpu_spec
+                        && gpu.allows(&m.kind, &m.zone, m.spot)
+                    {
+                        let here = Room::of_type(kind).slots(&gpu.need);
+                        if here > 0 && spare < kept + here {
+                            continue;
+                        }
+                        spare -= here.min(spare);
+                    }
                     leaving.push((id.clone(), Life::Returning, "idle"));
                 }
             }
@@ -976,25 +1014,7 @@
                 care = Care::Lax;
                 continue;
             };
-            let (kind, zone, spot) = offer.clone();
-            let slot = Slot {
-                kind: kind.clone(),
-                spot,
-                free: Room::of_type(t),
-            };
-            let hire = hires.entry(offer).or_insert(Hire {
-                kind: kind.clone(),
-                zone: zone.clone(),
-                spot,
-                count: 0,
-            });
-            hire.count += 1;
-            let id = format!("new/{kind}/{spot}/{}", hire.count);
-            plan.zones
-                .entry(zone)
-                .or_default()
-                .machines
-                .insert(id, slot);
+            rent_one(&mut hires, &mut plan, t, offer);
             if spec.kind == Kind::Array {
                 // The rest of its tasks follow one another in that room.
                 let room = Room::of_type(t).slots(&spec.need);
@@ -1004,9 +1024,40 @@
             }
         }
     }
+    // Places that stand ready for the next gang.
+    if let Some(gpu) = &view.gpu_spec {
+        let wanted = headroom(node, &view, &plan);
+        let mut tries = 0;
+        while spare_places(&view, &plan) < wanted && tries < most {
+            tries += 1;
+            let found = best_offer(node, &view, &hires, gpu, 1, Care::Lax, f64::INFINITY);
+            let Some((t, offer)) = found else { break };
+            rent_one(&mut hires, &mut plan, t, offer);
+        }
+    }
     hires.into_values().take(most).collect()
 }
 
+/// One more machine of an offer, with its room in the plan.
+fn rent_one(hires: &mut BTreeMap<Offer, Hire>, plan: &mut Plan, t: &MachineType, offer: Offer) {
+    let (kind, zone, spot) = offer.clone();
+    let hire = hires.entry(offer).or_insert(Hire {
+        kind: kind.clone(),
+        zone: zone.clone(),
+        spot,
+        count: 0,
+    });
+    hire.count += 1;
+    let id = format!("new/{kind}/{spot}/{}", hire.count);
+    let slot = Slot {
+        kind,
+        spot,
+        free: Room::of_type(t),
+    };
+    let machines = &mut plan.zones.entry(zone).or_default().machines;
+    machines.insert(id, slot);
+}
+
 fn running_cpus(view: &View) -> f64 {
     let mut cpus = 0.0;
     for (_, id) in &view.open {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -143,6 +143,13 @@
         default: "if(kind == array, if(has_deadline, 20, 5), 1000000)",
         meaning: "the dearest offer to rent, over the cheapest type's price for a task",
     },
+    Rule {
+        name: "headroom",
+        subject: Subject::Job,
+        range: Some(span(0.0, 100.0)),
+        default: "1",
+        meaning: "places kept for so many more jobs like the latest on accelerators, while such jobs are open",
+    },
     Rule {
         name: "idle_s",
         subject: Subject::Machine,
@@ -827,6 +834,9 @@
     pub fn rent_price_ratio(&self, job: &JobFacts) -> f64 {
         self.single("rent_price_ratio", &job.vars())
     }
+    pub fn headroom(&self, job: &JobFacts) -> f64 {
+        self.single("headroom", &job.vars())
+    }
     pub fn idle_s(&self, machine: &MachineFacts) -> f64 {
         self.single("idle_s", &machine.vars())
     }
