--- a/src/admission.rs
+++ b/src/admission.rs
@@ -166,8 +166,10 @@
 /// How far work without accelerators may stand in their way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Care {
-    /// Not at all.
+    /// Not at all, and no service keeps their machines rented.
     Strict,
+    /// Only in what they cannot use.
+    Mild,
     /// If there is no other place.
     Lax,
 }
@@ -206,6 +208,7 @@
             }
             // What stays for long goes elsewhere if it can.
             (_, Care::Strict) => false,
+            (_, Care::Mild) => loss(self.hints, zone, slot, &self.spec.need) == 0,
             (_, Care::Lax) => true,
         }
     }
@@ -514,6 +517,7 @@
 pub struct Victim {
     pub job: String,
     pub machine: String,
+    pub zone: String,
     pub tasks: usize,
 }
 
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -297,13 +297,31 @@
     let hints = Hints { view };
     let settings = &node.settings;
     let strict = admission::fit(job, spec, plan, &hints, settings, Care::Strict);
+    if strict.is_err() && spec.kind == Kind::Service && !job.retry.is_empty() {
+        // A replica that is down is replaced at once where it is not in the
+        // way, even if that keeps a costly machine rented.
+        let mild = admission::fit(job, spec, plan, &hints, settings, Care::Mild);
+        if mild.is_ok() {
+            return mild;
+        }
+    }
     if strict.is_ok() || spec.kind == Kind::Array || spec.need.gpus.0 > 0 {
         return strict;
     }
     let lax = admission::fit(job, spec, plan, &hints, settings, Care::Lax);
     let coming = with_stops(view, plan);
     let clears = admission::fit(job, spec, &coming, &hints, settings, Care::Strict).is_ok()
-        || find_victims(node, view, &coming, id, job, spec, Care::Strict).is_some();
+        || find_victims(
+            node,
+            view,
+            &BTreeMap::new(),
+            &coming,
+            id,
+            job,
+            spec,
+            Care::Strict,
+        )
+        .is_some();
     if clears { strict } else { lax }
 }
 
@@ -339,8 +357,9 @@
     }
 }
 
-/// Stops work for the first blocked job that may have it stopped; one job a
-/// round, and again only once the effect has had time to show.
+/// Stops work for blocked jobs that may have it stopped, as many as one
+/// commit holds; again for the same job only once the effect has had time to
+/// show.
 fn preempt(
     node: &Node,
     rounds: &mut Rounds,
@@ -350,45 +369,49 @@
     now: Instant,
 ) -> Option<Batch> {
     let settings = &node.settings;
+    let ops = settings.deployment.state.txn_ops;
     let patience = Duration::from_secs_f64(settings.deployment.workers.gang_peer_s) * 2;
     rounds
         .preempted
         .retain(|_, at| now.saturating_duration_since(*at) < patience);
-    // The room that is being cleared already counts as coming.
-    let coming = with_stops(view, plan);
+    // The room that is being cleared already counts as coming, once for each
+    // job that it will serve.
+    let mut coming = with_stops(view, plan);
     let hints = Hints { view };
+    let mut changed: BTreeMap<String, Job> = BTreeMap::new();
     for id in blocked {
-        if rounds.preempted.contains_key(id) {
-            continue;
-        }
         let Some(job) = view.jobs.get(id).map(|e| &e.value) else {
             continue;
         };
         let Some(spec) = &job.spec else { continue };
-        if admission::fit(job, spec, &coming, &hints, settings, Care::Strict).is_ok() {
+        let take = |coming: &mut Plan, care| {
+            let places = admission::fit(job, spec, coming, &hints, settings, care);
+            for p in places.iter().flatten() {
+                coming.take(&p.zone, &p.machine, &spec.team, spec.need);
+            }
+            places.is_ok()
+        };
+        if take(&mut coming, Care::Strict) || rounds.preempted.contains_key(id) {
             continue;
         }
-        let found = [Care::Strict, Care::Lax]
-            .into_iter()
-            .find_map(|care| find_victims(node, view, &coming, id, job, spec, care));
-        let Some(victims) = found else {
+        let found = [Care::Strict, Care::Lax].into_iter().find_map(|care| {
+            let victims = find_victims(node, view, &changed, &coming, id, job, spec, care)?;
+            Some((victims, care))
+        });
+        let Some((victims, care)) = found else {
             continue;
         };
+        let new: BTreeSet<&str> = victims
+            .iter()
+            .map(|v| v.job.as_str())
+            .chain([id.as_str()])
+            .filter(|j| !changed.contains_key(*j))
+            .collect();
+        if changed.len() + new.len() > ops {
+            break;
+        }
         rounds.preempted.insert(id.clone(), now);
-        let ops = settings.deployment.state.txn_ops;
-        let mut guards = Vec::new();
-        let mut writes = Vec::new();
-        let mut stopped: BTreeMap<&str, Job> = BTreeMap::new();
         for victim in &victims {
-            let Some(entry) = view.jobs.get(&victim.job) else {
-                continue;
-            };
-            if stopped.len() == ops && !stopped.contains_key(victim.job.as_str()) {
-                break;
-            }
-            let job = stopped
-                .entry(&victim.job)
-                .or_insert_with(|| entry.value.clone());
             tracing::info!(
                 job = victim.job,
                 machine = victim.machine,
@@ -396,30 +419,38 @@
                 for_job = id,
                 "preempted"
             );
-            job.stop_tasks(&victim.machine, victim.tasks);
-        }
-        if let Some(entry) = view.jobs.get(id)
-            && !entry.value.cleared
-            && stopped.len() < ops
-        {
-            let mut job = entry.value.clone();
-            job.cleared = true;
-            guards.push(guard(job_key(id), entry.version));
-            writes.push(put(job_key(id), &job));
-        }
-        for (victim, job) in &stopped {
-            guards.push(guard(job_key(victim), view.job_version(victim)));
-            writes.push(put(job_key(victim), job));
-        }
-        if !writes.is_empty() {
-            return Some(Batch {
-                jobs: vec![],
-                guards,
-                writes,
-            });
+            let Some(entry) = view.jobs.get(&victim.job) else {
+                continue;
+            };
+            let stopped = changed
+                .entry(victim.job.clone())
+                .or_insert_with(|| entry.value.clone());
+            if let Some(s) = &stopped.spec {
+                let room = s.need.times(victim.tasks);
+                clear(&mut coming, &victim.zone, &victim.machine, &s.team, room);
+            }
+            stopped.stop_tasks(&victim.machine, victim.tasks);
         }
+        changed
+            .entry(id.clone())
+            .or_insert_with(|| job.clone())
+            .cleared = true;
+        take(&mut coming, care);
     }
-    None
+    if changed.is_empty() {
+        return None;
+    }
+    let mut guards = Vec::new();
+    let mut writes = Vec::new();
+    for (id, job) in &changed {
+        guards.push(guard(job_key(id), view.job_version(id)));
+        writes.push(put(job_key(id), job));
+    }
+    Some(Batch {
+        jobs: vec![],
+        guards,
+        writes,
+    })
 }
 
 fn clear(plan: &mut Plan, zone: &str, machine: &str, team: &str, room: Room) {
@@ -435,11 +466,20 @@
     }
 }
 
+/// One of a few classes that a controller puts a job into.
+fn share_of(node: &str, job: &str) -> u64 {
+    let mut h = DefaultHasher::new();
+    (node, job).hash(&mut h);
+    h.finish() % 4
+}
+
 /// The least work whose end makes room for the job: one task after another,
 /// of the lowest priority and the youngest job first, until it fits.
+#[allow(clippy::too_many_arguments)]
 fn find_victims(
     node: &Node,
     view: &View,
+    changed: &BTreeMap<String, Job>,
     coming: &Plan,
     id: &str,
     job: &Job,
@@ -468,10 +508,12 @@
         if other == id {
             continue;
         }
-        let Some(entry) = view.jobs.get(other) else {
+        // As this round has left it so far.
+        let known = view.jobs.get(other).map(|e| &e.value);
+        let Some(entry) = changed.get(other).or(known) else {
             continue;
         };
-        let Some(victim) = &entry.value.spec else {
+        let Some(victim) = &entry.spec else {
             continue;
         };
         if !admission::may_preempt(spec, inside, victim, borrows(&victim.team, coming)) {
@@ -481,14 +523,17 @@
         if care == Care::Strict && spec.need.gpus.0 == 0 && victim.need.gpus.0 > 0 {
             continue;
         }
-        for run in entry.value.runs.iter().filter(|r| !r.stop) {
+        for run in entry.runs.iter().filter(|r| !r.stop) {
             let slot = view.slot(&run.zone, &run.machine);
             if slot.is_some_and(|s| spec.allows(&s.kind, &run.zone, s.spot)) {
                 let no_image = !view.has_image(&run.machine, &spec.image);
                 let order = (
                     victim.priority,
                     no_image,
-                    std::cmp::Reverse(entry.value.born),
+                    // Controllers that clear room at once begin in
+                    // different places.
+                    share_of(node.name(), other),
+                    std::cmp::Reverse(entry.born),
                 );
                 candidates.push((order, other, run, victim));
             }
@@ -520,6 +565,7 @@
                 _ => victims.push(Victim {
                     job: other.clone(),
                     machine: run.machine.clone(),
+                    zone: run.zone.clone(),
                     tasks: n,
                 }),
             }
