--- a/src/machines.rs
+++ b/src/machines.rs
@@ -737,9 +737,13 @@
 pub async fn keep_ends(node: Rc<Node>) {
     loop {
         let _ = timeout(node.settings.report(), node.ends_wanted.notified()).await;
+        // Alone behind a cut, silence says nothing: the workers have moved.
+        if !node.has_state() {
+            continue;
+        }
         release_silent(&node);
         release_gone(&node);
-        if node.ends.borrow().is_empty() || !node.has_state() {
+        if node.ends.borrow().is_empty() {
             continue;
         }
         // Ends come in bunches: a short wait puts them into one commit.
--- a/src/node.rs
+++ b/src/node.rs
@@ -267,7 +267,11 @@
         let idle = self.settings.horizon_limit() / 20;
         let gap = self.request_gap() * 4;
         loop {
-            let _ = timeout(idle, self.barrier_wanted.notified()).await;
+            // A controller that has just started has workers whose leases run
+            // out: its first barrier does not wait for anyone to ask.
+            if self.horizon.get().is_some() {
+                let _ = timeout(idle, self.barrier_wanted.notified()).await;
+            }
             let sent = Instant::now();
             let number = self.barrier_started.get() + 1;
             self.barrier_started.set(number);
