--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -32,6 +32,8 @@
     /// The last report of a worker that asked to be claimed, without tasks:
     /// its address and its kind.
     pub reports: HashMap<String, Report>,
+    /// When a machine was last sent to a controller of its own zone.
+    pub sent_home: HashMap<String, Instant>,
     /// Machines with a notice that are not draining yet.
     pub recalled: HashSet<String>,
     /// Offers that were refused, and how often in a row.
@@ -904,6 +906,7 @@
     }
     let known: HashSet<&String> = view.machines.keys().collect();
     fleet.first_seen.retain(|id, _| known.contains(id));
+    fleet.sent_home.retain(|id, _| known.contains(id));
     fleet.empty_since.retain(|id, _| known.contains(id));
     leaving
 }
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -354,6 +354,32 @@
         Response::json(421, &Redirect { report_to })
     }
 
+    /// A controller in the machine's own zone, if it is up and we are not in
+    /// that zone: reports that cross no zone survive when zones are apart.
+    /// Sent there seldom, as the worker may not reach it.
+    fn nearer(&self, report: &Report, now: Instant) -> Option<String> {
+        if report.zone == self.settings.zone {
+            return None;
+        }
+        let pause = self.settings.lease() * 3;
+        let mut fleet = self.fleet.borrow_mut();
+        let recent = fleet.sent_home.get(&report.machine);
+        if recent.is_some_and(|t| now.saturating_duration_since(*t) < pause) {
+            return None;
+        }
+        let peers = self.peers.borrow();
+        let alive = peers.alive(self, now);
+        let there = self
+            .settings
+            .others
+            .iter()
+            .filter(|p| p.zone == report.zone && alive.contains(&p.name.as_str()))
+            .map(|p| p.name.as_str());
+        let home = crate::placement::preferred(&report.machine, there)?.to_string();
+        fleet.sent_home.insert(report.machine.clone(), now);
+        Some(home)
+    }
+
     /// `POST /agent/beat`.
     pub async fn beat(&self, report: Report) -> Response {
         // Safety 4, the horizon.
@@ -362,6 +388,10 @@
         }
         let id = report.machine.clone();
         let now = Instant::now();
+        if let Some(home) = self.nearer(&report, now) {
+            let report_to = Some(home);
+            return Response::json(421, &Redirect { report_to });
+        }
         let known = self.view.borrow().machines.get(&id).cloned();
         if let Some(m) = &known {
             if m.value.life == Life::Gone {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -198,6 +198,25 @@
     });
 }
 
+/// Workers report inside their zone, so a cut between zones ends nothing.
+#[test]
+fn zones_that_are_apart_keep_their_work() {
+    in_world(|| async {
+        let w = World::new(11).await;
+        let mut spread = job(1, "daemon", 4, 0.0);
+        spread["scatter"] = json!(true);
+        let service = w.submit(spread).await;
+        w.until(&service, "running", 100).await;
+        sleep(Duration::from_secs(20)).await;
+        assert_eq!(w.running(&service), 4);
+        let before = w.starts.get();
+        w.part_zones();
+        sleep(Duration::from_secs(30)).await;
+        assert_eq!((w.running(&service), w.starts.get()), (4, before));
+        w.assert_kept();
+    });
+}
+
 #[test]
 fn a_sick_machine_goes_back_and_its_work_is_done_elsewhere() {
     in_world(|| async {
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -31,6 +31,11 @@
     addr(&format!("10.0.0.{}:8080", i + 1))
 }
 
+/// Two controllers in zone a, one in zone b.
+fn location(i: usize) -> &'static str {
+    if i + 1 == CONTROLLERS { "b" } else { "a" }
+}
+
 fn mesh(i: usize) -> String {
     format!("10.0.0.{}:8081", i + 1)
 }
@@ -38,10 +43,10 @@
 pub fn settings(i: usize) -> Settings {
     let others: Vec<Value> = (0..CONTROLLERS)
         .filter(|j| *j != i)
-        .map(|j| json!({"node": format!("n{j}"), "location": "a", "addr": mesh(j)}))
+        .map(|j| json!({"node": format!("n{j}"), "location": location(j), "addr": mesh(j)}))
         .collect();
     let text = json!({
-        "node": format!("n{i}"), "location": "a",
+        "node": format!("n{i}"), "location": location(i),
         "serve_on": controller(i).to_string(), "mesh_addr": mesh(i), "others": others,
         "external": {"cloud": CLOUD, "state": STATE},
         "deployment": {
@@ -501,6 +506,16 @@
         name
     }
 
+    /// Zones a and b no longer reach each other.
+    pub fn part_zones(&self) {
+        for (w, _) in self.workers.borrow().values() {
+            for i in (0..CONTROLLERS).filter(|i| location(*i) != w.zone) {
+                self.fabric.cut(w.port, controller(i));
+                self.fabric.cut(controller(i), w.port);
+            }
+        }
+    }
+
     /// The machine and all on it are gone at once.
     pub fn lose(&self, name: &str) {
         if let Some((worker, tasks)) = self.workers.borrow_mut().remove(name) {
