Silent machines go back after two leases; spread jobs rent in each zone

(1) A machine silent for a lease was returned though its work was free to go elsewhere already; now it takes no new work when quiet, and goes back after two leases.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -786,6 +786,10 @@
         if !matches!(life, Life::Active | Life::Draining) {
             continue;
         }
+        // When its lease is surely over its work is free to go elsewhere
+        // (`release_silent`), and it may be heard again. With a launch that
+        // may land late only the cloud can end the doubt.
+        let limit = if hand.unresolved { limit } else { limit * 2 };
         if now.saturating_duration_since(hand.heard) > limit {
             leaving.push((id.clone(), Life::Returning, "silent"));
         } else if life == Life::Active && hand.failed_jobs.len() >= 2 {
@@ -973,18 +977,27 @@
         let facts = admission::facts(job, spec, &plan, settings, &view, age);
         let policy = &settings.policy;
         let dearest = policy.rent_price_ratio(&facts);
-        let mut left = job.waiting();
+        // The job as it would be with the places planned so far, so that its
+        // zones' shares are kept.
+        let mut planned = job.clone();
+        let mut barred: HashSet<String> = HashSet::new();
+        let mut rented: Option<String> = None;
         // Rent and fill by turns: what is rented for one task serves others.
         let mut tries = 0;
         let mut care = Care::Strict;
         loop {
-            if let Ok(places) = admission::fit(job, spec, &plan, &hints, settings, care) {
-                let places = &places[..places.len().min(left)];
-                left -= places.len();
-                for p in places {
-                    plan.take(&p.zone, &p.machine, &spec.team, spec.need);
+            match admission::fit(&planned, spec, &plan, &hints, settings, care) {
+                Ok(places) => {
+                    for p in &places {
+                        plan.take(&p.zone, &p.machine, &spec.team, spec.need);
+                    }
+                    crate::placement::book(&mut planned, spec, &places);
                 }
+                // More room there does not help: it has its share already.
+                Err(_) if spec.spread => barred.extend(rented.take()),
+                Err(_) => {}
             }
+            let mut left = planned.waiting();
             if let Some(terms) = settings.team(&spec.team) {
                 let slots = admission::team_slots(terms, &plan.used(&spec.team), &spec.need);
                 left = left.min(slots);
@@ -1008,8 +1021,12 @@
                 }
             }
             let wanted = wanted.ceil().max(1.0) as usize;
-            let Some((t, offer)) = best_offer(node, &view, &hires, spec, wanted, care, dearest)
-            else {
+            let bounds = Bounds {
+                care,
+                dearest,
+                barred: &barred,
+            };
+            let Some((t, offer)) = best_offer(node, &view, &hires, spec, wanted, &bounds) else {
                 if care == Care::Lax {
                     crate::placement::note(node, id, admission::Wait::Refused, now);
                     break;
@@ -1017,6 +1034,7 @@
                 care = Care::Lax;
                 continue;
             };
+            rented = Some(offer.1.clone());
             rent_one(&mut hires, &mut plan, t, offer);
             if spec.kind == Kind::Array {
                 // The rest of its tasks follow one another in that room.
@@ -1033,7 +1051,12 @@
         let mut tries = 0;
         while spare_places(&view, &plan) < wanted && tries < most {
             tries += 1;
-            let found = best_offer(node, &view, &hires, gpu, 1, Care::Lax, f64::INFINITY);
+            let bounds = Bounds {
+                care: Care::Lax,
+                dearest: f64::INFINITY,
+                barred: &HashSet::new(),
+            };
+            let found = best_offer(node, &view, &hires, gpu, 1, &bounds);
             let Some((t, offer)) = found else { break };
             rent_one(&mut hires, &mut plan, t, offer);
         }
@@ -1074,6 +1097,15 @@
     cpus
 }
 
+/// What an offer may not be.
+struct Bounds<'a> {
+    care: Care,
+    /// The most it may cost, over the cheapest type.
+    dearest: f64,
+    /// Zones where more room would not help.
+    barred: &'a HashSet<String>,
+}
+
 /// The offer that is cheapest for each task it would hold of those wanted.
 fn best_offer<'a>(
     node: &Node,
@@ -1081,8 +1113,7 @@
     hires: &BTreeMap<Offer, Hire>,
     spec: &Spec,
     wanted: usize,
-    care: Care,
-    dearest: f64,
+    bounds: &Bounds,
 ) -> Option<(&'a MachineType, Offer)> {
     let now = Instant::now();
     let fleet = node.fleet.borrow();
@@ -1097,10 +1128,10 @@
         }
         for zone in &t.zones {
             for spot in [true, false] {
-                if !spec.allows(&t.name, zone, spot) {
+                if !spec.allows(&t.name, zone, spot) || bounds.barred.contains(zone) {
                     continue;
                 }
-                if (spec.kind == Kind::Array || care == Care::Strict)
+                if (spec.kind == Kind::Array || bounds.care == Care::Strict)
                     && spec.need.gpus.0 == 0
                     && t.gpus > 0.0
                     && view
@@ -1120,7 +1151,7 @@
                 }
                 let price = cost(t, spot) / slots.min(wanted) as f64;
                 let full = cost(t, spot) / slots as f64;
-                if full > cheapest * dearest {
+                if full > cheapest * bounds.dearest {
                     continue;
                 }
                 if best.as_ref().is_none_or(|(p, _, _)| price < *p) {
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -989,6 +989,8 @@
     let entry = view.zones.get(zone);
     let mut record = entry.map(|e| e.value.clone()).unwrap_or_default();
     let mut changed = false;
+    let now = Instant::now();
+    let quiet = node.settings.lease().mul_f64(0.6);
     for (id, hand) in hands.iter() {
         let Some(machine) = view.machines.get(id) else {
             continue;
@@ -1001,6 +1003,12 @@
         {
             continue;
         }
+        // What has not been heard for most of a lease takes no new work until
+        // it is heard again.
+        if now.saturating_duration_since(hand.heard) > quiet {
+            changed |= record.machines.remove(id).is_some();
+            continue;
+        }
         let (Some(report), Some(kind)) = (&hand.report, view.type_of(&m.kind)) else {
             continue;
         };
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -341,7 +341,8 @@
     coming
 }
 
-fn book(job: &mut Job, spec: &Spec, places: &[admission::Place]) {
+/// Books the places for the job's next waiting tasks under a new attempt.
+pub fn book(job: &mut Job, spec: &Spec, places: &[admission::Place]) {
     job.attempt += 1;
     job.cleared = false;
     let attempt = job.attempt;
