--- a/src/net.rs
+++ b/src/net.rs
@@ -5,9 +5,11 @@
 use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 
-use tokio::io::{AsyncRead, AsyncWrite, DuplexStream};
+use tokio::io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -25,7 +27,8 @@
 }
 
 impl Fabric {
-    /// From now on `from` reaches `to` no more: dials hang, as behind a cut.
+    /// From now on `from` reaches `to` no more: dials hang, and so do streams
+    /// that are open already, as behind a cut.
     pub fn cut(&self, from: SocketAddrV4, to: SocketAddrV4) {
         self.cut.borrow_mut().insert((from, to));
     }
@@ -38,6 +41,53 @@
     }
 }
 
+/// The dialler's end of a stream on a fabric.
+struct FabricStream {
+    inner: DuplexStream,
+    fabric: Rc<Fabric>,
+    from: SocketAddrV4,
+    to: SocketAddrV4,
+}
+
+impl FabricStream {
+    /// Whoever waits on a cut stream is woken by his own timeout only.
+    fn is_cut(&self) -> bool {
+        self.fabric.cut.borrow().contains(&(self.from, self.to))
+    }
+}
+
+impl AsyncRead for FabricStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.is_cut() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for FabricStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.is_cut() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
+
 /// How one process reaches others.
 #[derive(Clone)]
 pub enum Net {
@@ -67,7 +117,12 @@
                 let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
                 let listener = listeners.get(&addr).ok_or_else(refused)?;
                 listener.send(theirs).map_err(|_| refused())?;
-                Ok(Box::new(ours))
+                Ok(Box::new(FabricStream {
+                    inner: ours,
+                    fabric: fabric.clone(),
+                    from: *from,
+                    to: addr,
+                }))
             }
         }
     }
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -549,7 +549,7 @@
         w.renewed.set(Instant::now());
         let net = Net::Fabric(self.fabric.clone(), w.port);
         let client = Client::new(net, Duration::from_secs(30));
-        let mut to = w.port.ip().octets()[3] as usize % CONTROLLERS;
+        let mut to = 0;
         loop {
             w.expire(Duration::from_secs(10));
             let session = w.session.get();
