--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -789,7 +789,14 @@
         // When its lease is surely over its work is free to go elsewhere
         // (`release_silent`), and it may be heard again. With a launch that
         // may land late only the cloud can end the doubt.
-        let limit = if hand.unresolved { limit } else { limit * 2 };
+        let recalled = hand.report.as_ref().is_some_and(|r| r.notice_s.is_some());
+        let limit = match (recalled, hand.unresolved) {
+            // It was to be taken back and is silent: it has been, and the
+            // cloud's answer proves it sooner than the lease does.
+            (true, _) => limit.min(node.settings.report() * 3),
+            (false, true) => limit,
+            (false, false) => limit * 2,
+        };
         if now.saturating_duration_since(hand.heard) > limit {
             leaving.push((id.clone(), Life::Returning, "silent"));
         } else if life == Life::Active && hand.failed_jobs.len() >= 2 {
