--- a/src/admission.rs
+++ b/src/admission.rs
@@ -4,15 +4,17 @@
 //! all its tasks fit one topology domain, here a zone, else it waits; a
 //! preferred one relaxes upward and is finally admitted spread.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::rc::Rc;
 
 use serde::Serialize;
 use tokio::time::Instant;
 
-use crate::model::{Amount, Job, Room, Slot, Spec, Zone};
+use crate::model::{Amount, Job, Room, Spec};
 use crate::policy::JobFacts;
 use crate::settings::{Settings, TeamTerms};
-use crate::view::View;
+use crate::view::{Spot, View};
 use crate::wire::Kind;
 
 /// Why a job has to wait, as the decision found it.
@@ -39,51 +41,87 @@
     Refused,
 }
 
+/// Stands for a machine that has no name yet, as it is not rented yet.
+pub const UNNAMED: u32 = u32::MAX;
+
 /// Free room as a round plans with it: what the records say, less what the
-/// round has given out already.
+/// round has given out already. Copied often, so it holds no text.
 #[derive(Debug, Clone, Default)]
 pub struct Plan {
-    pub zones: BTreeMap<String, Zone>,
+    pub spots: Vec<Spot>,
+    /// Where a machine stands in `spots`, by its number.
+    at: Vec<u32>,
     pub teams: HashMap<String, Room>,
 }
 
 impl Plan {
     pub fn of(view: &View) -> Self {
-        Plan {
-            zones: view
-                .zones
-                .iter()
-                .map(|(k, e)| (k.clone(), e.value.clone()))
-                .collect(),
+        let mut plan = Plan {
+            spots: view.spots().copied().collect(),
+            at: vec![UNNAMED; view.machine_names.len()],
             teams: view
                 .teams
                 .iter()
                 .map(|(k, e)| (k.clone(), e.value.used))
                 .collect(),
+        };
+        for (at, spot) in plan.spots.iter().enumerate() {
+            plan.at[spot.machine as usize] = at as u32;
         }
+        plan
     }
 
     pub fn used(&self, team: &str) -> Room {
         self.teams.get(team).copied().unwrap_or_default()
     }
 
-    pub fn take(&mut self, zone: &str, machine: &str, team: &str, need: Room) {
-        if let Some(slot) = self
-            .zones
-            .get_mut(zone)
-            .and_then(|z| z.machines.get_mut(machine))
-        {
-            slot.free -= need;
+    /// Where a machine stands among the spots, if it takes work.
+    pub fn find(&self, view: &View, machine: &str) -> Option<usize> {
+        let number = view.machine_names.find(machine)?;
+        let at = *self.at.get(number as usize)?;
+        (at != UNNAMED).then_some(at as usize)
+    }
+
+    /// Room on a machine that is yet to come.
+    pub fn add(&mut self, class: u32, free: Room) {
+        self.spots.push(Spot {
+            machine: UNNAMED,
+            part: UNNAMED,
+            class,
+            free,
+        });
+    }
+
+    pub fn take(&mut self, place: &Place, team: &str, need: Room) {
+        self.spots[place.at].free -= need;
+        match self.teams.get_mut(team) {
+            Some(used) => *used += need,
+            None => {
+                self.teams.insert(team.to_string(), need);
+            }
+        }
+    }
+
+    /// Room that is, or will be, given back.
+    pub fn give(&mut self, view: &View, machine: &str, team: &str, room: Room) {
+        if let Some(at) = self.find(view, machine) {
+            self.spots[at].free += room;
+        }
+        if let Some(used) = self.teams.get_mut(team) {
+            *used -= room;
         }
-        *self.teams.entry(team.to_string()).or_default() += need;
     }
 }
 
 /// One task's place.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Place {
-    pub zone: String,
-    pub machine: String,
+    /// Where the machine stands in the plan.
+    pub at: usize,
+    pub machine: Rc<str>,
+    pub zone: Rc<str>,
+    /// The part of the zone's record that has the machine.
+    pub part: Rc<str>,
 }
 
 /// How many more tasks the team's limit lets run.
@@ -97,17 +135,31 @@
 }
 
 /// How many of `places` the job's record can hold: every booked or retried
-/// task may need a range of its own, every machine and attempt a run.
+/// task may come to stand alone, every machine and attempt takes a run. Fresh
+/// tasks share one attempt, see `placement::book`.
 pub fn record_slots(job: &Job, places: &[Place], value_bytes: usize) -> usize {
-    const FIXED: usize = 1024;
-    const TASK: usize = 16;
-    const RUN: usize = 110;
-    let mut size = FIXED + (job.booked() + job.retry.len()) * TASK + job.runs.len() * RUN;
+    // Keys, counters, and the mark of a run that was split for a stop.
+    const FIXED: usize = 192;
+    const RUN: usize = 72;
+    let digits = |n: u64| n.checked_ilog10().unwrap_or(0) as usize + 1;
+    // A number and its comma; of two that touch, the dash between.
+    let task = digits(u64::from(job.tasks)) + 1;
+    let run =
+        |machine: &str, zone: &str, attempt| machine.len() + zone.len() + digits(attempt) + RUN;
+    let spec = serde_json::to_vec(&job.spec).map_or(value_bytes, |v| v.len());
+    let mut size = FIXED + spec + (job.booked() + job.retry.len()) * task;
+    for r in &job.runs {
+        size += run(&r.machine, &r.zone, r.attempt);
+    }
     let mut machines = HashSet::new();
     for (n, place) in places.iter().enumerate() {
-        size += TASK;
-        if machines.insert(&place.machine) {
-            size += RUN;
+        size += task;
+        if machines.insert(place.at) {
+            size += run(&place.machine, &place.zone, job.attempt + 2);
+            // Retried and fresh tasks may meet on one machine.
+            if !job.retry.is_empty() {
+                size += run(&place.machine, &place.zone, 1);
+            }
         }
         if size > value_bytes {
             return n;
@@ -119,48 +171,9 @@
 /// Hints for choosing among machines with room; none of them is needed.
 pub struct Hints<'a> {
     pub view: &'a View,
-}
-
-/// How many tasks of the accelerators' usual shape lose their place on this
-/// machine if `need` is taken from it. Work without accelerators is kept off
-/// them only as far as it is in the way: what they cannot use is free to it.
-fn loss(hints: &Hints, zone: &str, slot: &Slot, need: &Room) -> usize {
-    let gpus = hints.view.type_of(&slot.kind).map_or(0.0, |k| k.gpus);
-    if need.gpus.0 > 0 || gpus <= 0.0 {
-        return 0;
-    }
-    match &hints.view.gpu_spec {
-        Some(s) if !s.allows(&slot.kind, zone, slot.spot) => 0,
-        Some(s) => slot.free.slots(&s.need) - (slot.free - *need).slots(&s.need),
-        None => 1,
-    }
-}
-
-/// Lower is better. Accelerators are kept for those that need them; then a
-/// service looks for its image first, as it should run at once; then the
-/// cheaper machine, and the tightest fit, so that others stay whole.
-fn rank(spec: &Spec, hints: &Hints, zone: &str, id: &str, slot: &Slot) -> [i64; 7] {
-    let kind = hints.view.type_of(&slot.kind);
-    let gpus = kind.map_or(0.0, |k| k.gpus);
-    let shape_slots = match &hints.view.gpu_spec {
-        Some(s) if gpus > 0.0 && spec.need.gpus.0 == 0 => slot.free.slots(&s.need),
-        _ => 0,
-    };
-    let no_image = i64::from(!hints.view.has_image(id, &spec.image));
-    let costly = i64::from(spec.spot && !slot.spot);
-    let quick = spec.kind == Kind::Service;
-    // A service stays for long and would keep a costly machine rented.
-    let pins = i64::from(quick && gpus > 0.0 && spec.need.gpus.0 == 0);
-    [
-        loss(hints, zone, slot, &spec.need) as i64,
-        pins,
-        if quick { no_image } else { costly },
-        if quick { costly } else { no_image },
-        shape_slots as i64,
-        // Of two places in the way, the one among more accelerators.
-        if spec.need.gpus.0 > 0 { 1 } else { -1 } * (gpus * 1000.0) as i64,
-        slot.free.cpus.0,
-    ]
+    /// The controller that plans: between machines that are as good, those of
+    /// its own parts, where its commits meet no others.
+    pub home: &'a str,
 }
 
 /// How far work without accelerators may stand in their way.
@@ -174,129 +187,195 @@
     Lax,
 }
 
-/// Where tasks may go, and how many of this job each zone may still take.
+/// Lower is better, the first figures first.
+type Score = [i64; 8];
+
+/// A machine on offer: what is lost by it, how many tasks it was given, how
+/// good it is, and where it stands in the plan.
+type Offered = (i64, i64, Score, usize);
+
+/// What a class of machines means to a job, worked out once for all of them.
+#[derive(Clone, Copy)]
+struct Gate {
+    allowed: bool,
+    gpus: Amount,
+    /// The accelerators' usual work may run there, and this work needs none.
+    in_way: bool,
+    costly: i64,
+    zone: usize,
+}
+
+/// Where a job's tasks may go.
 struct Field<'a> {
     spec: &'a Spec,
     hints: &'a Hints<'a>,
     care: Care,
-    machines: Vec<(&'a String, &'a String, Slot)>,
-    caps: BTreeMap<&'a String, usize>,
+    gates: Vec<Gate>,
+    /// By part number: the parts of this controller.
+    own: Vec<bool>,
+    image: Option<u32>,
 }
 
 impl<'a> Field<'a> {
-    fn open(&self, zone: &str, slot: &Slot) -> bool {
-        if !slot.free.fits(&self.spec.need) {
+    fn new(spec: &'a Spec, hints: &'a Hints<'a>, care: Care) -> Self {
+        let view = hints.view;
+        let gates = view.classes.iter().map(|class| {
+            let gpus = view.class_type(class).map_or(0.0, |t| t.gpus);
+            let wanted = view
+                .gpu_spec
+                .as_ref()
+                .is_none_or(|s| s.allows(&class.kind, &class.zone, class.spot));
+            Gate {
+                allowed: spec.allows(&class.kind, &class.zone, class.spot),
+                gpus: Amount::room(gpus),
+                in_way: gpus > 0.0 && spec.need.gpus.0 == 0 && wanted,
+                costly: i64::from(spec.spot && !class.spot),
+                zone: class.zone_at,
+            }
+        });
+        let own = (0..view.part_names.len() as u32).map(|n| {
+            let name = view.part_names.name(n);
+            let part = name.split_once('/').map_or("", |p| p.1);
+            crate::machines::home_of(part) == hints.home
+        });
+        Field {
+            gates: gates.collect(),
+            own: own.collect(),
+            spec,
+            hints,
+            care,
+            image: view.image(&spec.image),
+        }
+    }
+
+    /// How many tasks of the accelerators' usual shape lose their place on
+    /// this machine if the job's task takes it. Work without accelerators is
+    /// kept off them only as far as it is in the way.
+    fn loss(&self, spot: &Spot) -> i64 {
+        let gate = &self.gates[spot.class as usize];
+        if !gate.in_way {
+            return 0;
+        }
+        match &self.hints.view.gpu_spec {
+            Some(s) => {
+                let after = spot.free - self.spec.need;
+                spot.free.slots(&s.need) as i64 - after.slots(&s.need) as i64
+            }
+            None => 1,
+        }
+    }
+
+    fn open(&self, spot: &Spot) -> bool {
+        let gate = &self.gates[spot.class as usize];
+        if !gate.allowed || !spot.free.fits(&self.spec.need) {
             return false;
         }
-        let view = self.hints.view;
-        let kind = view.type_of(&slot.kind);
-        let gpus = kind.map_or(0.0, |k| k.gpus);
-        let wanted = view
-            .gpu_spec
-            .as_ref()
-            .is_none_or(|s| s.allows(&slot.kind, zone, slot.spot));
-        if self.spec.need.gpus.0 > 0 || gpus <= 0.0 || !wanted {
+        if !gate.in_way {
             return true;
         }
         match (self.spec.kind, self.care) {
             // Independent tasks come and go: they never stand in the way of
             // work that needs the accelerators, and they do not keep a
             // machine rented whose accelerators are idle.
-            (Kind::Array, _) => {
-                slot.free.gpus < Amount::room(gpus)
-                    && loss(self.hints, zone, slot, &self.spec.need) == 0
-            }
+            (Kind::Array, _) => spot.free.gpus < gate.gpus && self.loss(spot) == 0,
             // What stays for long goes elsewhere if it can.
             (_, Care::Strict) => false,
-            (_, Care::Mild) => loss(self.hints, zone, slot, &self.spec.need) == 0,
+            (_, Care::Mild) => self.loss(spot) == 0,
             (_, Care::Lax) => true,
         }
     }
 
-    fn of(
-        zones: impl Iterator<Item = (&'a String, &'a Zone, usize)>,
-        spec: &'a Spec,
-        hints: &'a Hints<'a>,
-        care: Care,
-    ) -> Self {
-        let mut field = Field {
-            spec,
-            hints,
-            care,
-            machines: Vec::new(),
-            caps: BTreeMap::new(),
+    /// Accelerators are kept for those that need them; then a service looks
+    /// for its image first, as it should run at once; then the cheaper
+    /// machine, and the tightest fit, so that others stay whole.
+    fn score(&self, spot: &Spot) -> Score {
+        let view = self.hints.view;
+        let gate = &self.gates[spot.class as usize];
+        let spec = self.spec;
+        let shape_slots = match &view.gpu_spec {
+            Some(s) if gate.gpus.0 > 0 && spec.need.gpus.0 == 0 => spot.free.slots(&s.need),
+            _ => 0,
         };
-        for (name, zone, cap) in zones {
-            field.caps.insert(name, cap);
-            for (id, slot) in &zone.machines {
-                if spec.allows(&slot.kind, name, slot.spot) && field.open(name, slot) {
-                    field.machines.push((name, id, slot.clone()));
-                }
-            }
-        }
-        field
+        let no_image = i64::from(!view.has_image(spot.machine, self.image));
+        let foreign = i64::from(!self.own.get(spot.part as usize).copied().unwrap_or(false));
+        let quick = spec.kind == Kind::Service;
+        // A service stays for long and would keep a costly machine rented.
+        let pins = i64::from(quick && gate.gpus.0 > 0 && spec.need.gpus.0 == 0);
+        let (third, fourth, fifth) = match spec.kind {
+            Kind::Service => (no_image, gate.costly, 0),
+            // Their ends come often: where they are this controller's own,
+            // nobody else writes the records.
+            Kind::Array => (gate.costly, foreign, no_image),
+            Kind::Gang => (gate.costly, no_image, foreign),
+        };
+        [
+            self.loss(spot),
+            pins,
+            third,
+            fourth,
+            fifth,
+            shape_slots as i64,
+            // Of two places in the way, the one among more accelerators.
+            if spec.need.gpus.0 > 0 { 1 } else { -1 } * gate.gpus.0,
+            spot.free.cpus.0,
+        ]
     }
 
-    /// Tasks that fit one by one, best machines first; at most `most`. Also
-    /// tells how good the places are: lower is better.
-    fn fill(mut self, most: usize) -> (Vec<Place>, [i64; 7]) {
-        let mut places = Vec::new();
-        let mut sum = [0; 7];
+    /// Tasks that fit one by one into the zones with a cap, best machines
+    /// first; at most `most`. Also tells how good the places are.
+    fn fill(&self, plan: &Plan, caps: &[usize], most: usize) -> (Vec<usize>, Score) {
         let service = self.spec.kind == Kind::Service;
         // Replicas go to different zones and machines while there are some;
-        // other tasks fill the best machine first.
-        let mut in_zone: HashMap<&String, i64> = HashMap::new();
-        let mut on_machine: HashMap<&String, i64> = HashMap::new();
+        // other tasks fill the best machine first. A heap a zone, the best
+        // machine on top.
+        let mut heaps: Vec<Vec<Reverse<Offered>>> = vec![Vec::new(); caps.len()];
+        for (at, spot) in plan.spots.iter().enumerate() {
+            let zone = self.gates[spot.class as usize].zone;
+            if caps.get(zone).is_some_and(|c| *c > 0) && self.open(spot) {
+                let score = self.score(spot);
+                heaps[zone].push(Reverse((score[0], 0, score, at)));
+            }
+        }
+        let mut heaps: Vec<BinaryHeap<_>> = heaps.into_iter().map(BinaryHeap::from).collect();
+        let mut caps = caps.to_vec();
+        let mut in_zone = vec![0i64; caps.len()];
+        let mut sum = [0; 8];
+        let mut places = Vec::new();
         while places.len() < most {
-            let caps = &self.caps;
-            let best = self
-                .machines
-                .iter_mut()
-                .filter(|(zone, _, _)| caps[zone] > 0)
-                .map(|(zone, id, slot)| {
-                    let rank = rank(self.spec, self.hints, zone, id, slot);
-                    let near = if service {
-                        let count = |m: &HashMap<&String, i64>, k| m.get(k).copied().unwrap_or(0);
-                        (count(&in_zone, zone), count(&on_machine, id))
-                    } else {
-                        (0, 0)
-                    };
-                    ((rank[0], near, rank), zone, id, slot)
+            let best = (0..heaps.len())
+                .filter(|z| caps[*z] > 0)
+                .filter_map(|z| {
+                    let Reverse((loss, given, score, _)) = heaps[z].peek()?;
+                    let near = if service { in_zone[z] } else { 0 };
+                    Some(((*loss, near, *given, *score), z))
                 })
-                .min_by_key(|(key, _, _, _)| *key);
-            let Some(((_, _, rank), zone, id, slot)) = best else {
+                .min();
+            let Some((_, zone)) = best else { break };
+            let Some(Reverse((_, given, score, at))) = heaps[zone].pop() else {
                 break;
             };
-            for (s, r) in sum.iter_mut().zip(rank) {
-                *s += r;
+            let mut spot = plan.spots[at];
+            for _ in 0..given {
+                spot.free -= self.spec.need;
             }
-            *in_zone.entry(zone).or_default() += 1;
-            *on_machine.entry(id).or_default() += 1;
-            let (zone, id) = (*zone, *id);
             // One machine's room is used up before the next is looked at,
             // but for replicas.
-            let mut free = slot.clone();
             loop {
-                places.push(Place {
-                    zone: zone.clone(),
-                    machine: id.clone(),
-                });
-                free.free -= self.spec.need;
-                if let Some(cap) = self.caps.get_mut(zone) {
-                    *cap -= 1;
+                for (s, r) in sum.iter_mut().zip(score) {
+                    *s += r;
                 }
-                let room = places.len() < most && self.caps[zone] > 0 && self.open(zone, &free);
-                if service || !room {
+                places.push(at);
+                spot.free -= self.spec.need;
+                in_zone[zone] += 1;
+                caps[zone] -= 1;
+                let more = places.len() < most && caps[zone] > 0 && self.open(&spot);
+                if service || !more {
                     break;
                 }
             }
-            let open = self.open(zone, &free);
-            match self.machines.iter().position(|(_, m, _)| *m == id) {
-                Some(at) if open => self.machines[at].2 = free,
-                Some(at) => {
-                    self.machines.swap_remove(at);
-                }
-                None => {}
+            if service && self.open(&spot) {
+                let score = self.score(&spot);
+                heaps[zone].push(Reverse((score[0], given + 1, score, at)));
             }
         }
         (places, sum)
@@ -313,7 +392,19 @@
     settings: &Settings,
     care: Care,
 ) -> Result<Vec<Place>, Wait> {
-    let mut places = find(job, spec, plan, hints, settings, care)?;
+    let view = hints.view;
+    let mut places: Vec<Place> = find(job, spec, plan, hints, settings, care)?
+        .into_iter()
+        .map(|at| {
+            let spot = &plan.spots[at];
+            Place {
+                at,
+                machine: view.machine_names.name(spot.machine),
+                zone: view.classes[spot.class as usize].zone.clone(),
+                part: view.part_names.name(spot.part),
+            }
+        })
+        .collect();
     let slots = record_slots(job, &places, settings.value_bytes());
     if slots == 0 || (spec.is_gang() && slots < places.len()) {
         return Err(Wait::RecordFull);
@@ -322,6 +413,18 @@
     Ok(places)
 }
 
+/// Whether the job fits; cheaper than where.
+pub fn fits(
+    job: &Job,
+    spec: &Spec,
+    plan: &Plan,
+    hints: &Hints,
+    settings: &Settings,
+    care: Care,
+) -> bool {
+    find(job, spec, plan, hints, settings, care).is_ok()
+}
+
 fn find(
     job: &Job,
     spec: &Spec,
@@ -329,7 +432,7 @@
     hints: &Hints,
     settings: &Settings,
     care: Care,
-) -> Result<Vec<Place>, Wait> {
+) -> Result<Vec<usize>, Wait> {
     let waiting = job.waiting();
     if waiting == 0 {
         return Err(Wait::OldAttempt);
@@ -345,24 +448,30 @@
     }
     let per_zone = job.per_zone();
     // Tasks that are still elsewhere bind a job of one zone to theirs.
-    let zones: Vec<(&String, &Zone, usize)> = plan
-        .zones
-        .iter()
-        .filter(|(name, _)| !spec.one_zone || per_zone.keys().all(|z| z == name))
-        .map(|(name, zone)| {
-            let here = per_zone.get(name.as_str()).copied().unwrap_or(0);
-            (name, zone, spec.zone_cap().saturating_sub(here))
+    let zones = &hints.view.zone_names;
+    let caps: Vec<usize> = (0..zones.len() as u32)
+        .map(|z| {
+            let name = zones.name(z);
+            if spec.one_zone && per_zone.keys().any(|other| *other != &*name) {
+                return 0;
+            }
+            let here = per_zone.get(&*name).copied().unwrap_or(0);
+            spec.zone_cap().saturating_sub(here)
         })
         .collect();
+    let field = Field::new(spec, hints, care);
     if gang || spec.one_zone {
         // KEP-2724: one domain that takes them all; the best such one.
-        let mut found: Vec<(Vec<Place>, [i64; 7])> = zones
-            .iter()
-            .map(|z| Field::of(std::iter::once(*z), spec, hints, care).fill(most))
+        let found = (0..caps.len())
+            .filter(|z| caps[*z] > 0)
+            .map(|z| {
+                let mut only = vec![0; caps.len()];
+                only[z] = caps[z];
+                field.fill(plan, &only, most)
+            })
             .filter(|(places, _)| !places.is_empty())
-            .collect();
-        found.sort_by_key(|(places, rank)| (std::cmp::Reverse(places.len()), *rank));
-        if let Some((places, _)) = found.into_iter().next()
+            .min_by_key(|(places, score)| (Reverse(places.len()), *score));
+        if let Some((places, _)) = found
             && (!gang || places.len() == waiting)
         {
             return Ok(places);
@@ -372,20 +481,53 @@
         }
     }
     // Relaxed: spread over the zones.
-    let capped = zones.iter().any(|(_, _, cap)| *cap < most);
-    let (places, _) = Field::of(zones.into_iter(), spec, hints, care).fill(most);
+    let capped = caps.iter().any(|cap| *cap < most);
+    let (places, _) = field.fill(plan, &caps, most);
     if places.is_empty() || (gang && places.len() < waiting) {
         return Err(if capped { Wait::Spread } else { Wait::NoRoom });
     }
     Ok(places)
 }
 
+/// Whether a job has waited so long that it goes first: a bound on waiting
+/// that no order by size, team or lateness can push back. Only for what has
+/// not begun: the rest of an array follows in the usual order.
+pub fn starves(job: &Job, spec: &Spec, settings: &Settings, age: f64) -> bool {
+    age > settings.starving_s() && job.waiting() == spec.tasks as usize
+}
+
+/// Keeps the room that a gang waits for, in the zone that has the most of it,
+/// from what comes behind it in the queue. Machines that hold none of its
+/// tasks yet are left to others: what they run would not make way sooner.
+pub fn hold_room(spec: &Spec, plan: &mut Plan, hints: &Hints) {
+    let field = Field::new(spec, hints, Care::Strict);
+    let zones = hints.view.zone_names.len();
+    let mut room = vec![0; zones];
+    let open = |spot: &Spot| field.gates[spot.class as usize].allowed;
+    for spot in plan.spots.iter().filter(|s| open(s)) {
+        room[field.gates[spot.class as usize].zone] += spot.free.slots(&spec.need);
+    }
+    let Some(best) = (0..zones).max_by_key(|z| room[*z]).filter(|z| room[*z] > 0) else {
+        return;
+    };
+    let mut left = spec.tasks as usize;
+    for spot in &mut plan.spots {
+        let gate = &field.gates[spot.class as usize];
+        while left > 0 && gate.allowed && gate.zone == best && spot.free.fits(&spec.need) {
+            spot.free -= spec.need;
+            left -= 1;
+        }
+    }
+}
+
 /// A job's place in the queue: lower goes first.
 #[derive(Debug, Clone, PartialEq, PartialOrd)]
 pub struct Rank {
     /// Room has been cleared for it already: the policy does not come into
     /// that, or what was stopped for one job would serve another.
     pub waits_for_room: bool,
+    /// It has not waited beyond the bound; those that have go by age.
+    pub patient: bool,
     /// The policy's keys.
     pub keys: Vec<f64>,
     pub born: u64,
@@ -412,9 +554,14 @@
                 .get(id)
                 .map_or(0.0, |t| now.saturating_duration_since(*t).as_secs_f64());
             let facts = facts(job, spec, plan, settings, view, age);
+            let starves = starves(job, spec, settings, age);
             let rank = Rank {
                 waits_for_room: !job.cleared,
-                keys: settings.policy.queue_order(&facts),
+                patient: !starves,
+                keys: match starves {
+                    true => Vec::new(),
+                    false => settings.policy.queue_order(&facts),
+                },
                 born: *born,
             };
             Some((rank, id.as_str()))
@@ -517,7 +664,6 @@
 pub struct Victim {
     pub job: String,
     pub machine: String,
-    pub zone: String,
     pub tasks: usize,
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -1,18 +1,21 @@
 //! What users, workers and probes ask over HTTP.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use rand::Rng;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout};
 
 use crate::http::{Request, Response, ServerLimits};
-use crate::model::{Final, Job, Room, Spec, is_job_id};
+use crate::model::{Arrivals, Final, Job, Room, Spec, is_job_id};
 use crate::net::Listener;
 use crate::node::{Node, guard, put};
 use crate::settings::Settings;
 use crate::store::{Class, StoreError};
-use crate::view::{View, job_key};
-use crate::wire::{JobStage, JobState, Kind, Report, Submission};
+use crate::view::{View, arrivals_key, job_key};
+use crate::wire::{Guard, JobStage, JobState, Kind, Report, Submission};
 
 pub async fn serve(node: Rc<Node>, listener: Listener) {
     let limits = ServerLimits {
@@ -219,35 +222,123 @@
             };
         }
     };
-    let born = node.view.borrow().revision;
-    let job = Job::new(spec, born);
-    let began = Instant::now();
+    // Safety 1: accepted means committed. The guard makes a repeat, here or
+    // on another controller, find the first one.
+    let (done, answer) = oneshot::channel();
+    let arrival = Arrival {
+        id: id.clone(),
+        spec,
+        done,
+    };
+    node.arrivals.borrow_mut().push_back(arrival);
+    node.arrivals_wanted.notify_one();
+    match timeout(ACCEPT_WAIT, answer).await {
+        Ok(Ok(true)) => {
+            let state = JobState {
+                id: &id,
+                stage: JobStage::Queued,
+                done: None,
+                running: None,
+            };
+            Response::json(201, &state)
+        }
+        Ok(Ok(false)) => poll_within(node, &id, POLL_WAIT).await,
+        _ => busy(),
+    }
+}
+
+/// A submission that waits to be accepted, and who waits for that: true when
+/// it is, false when its id is known already.
+pub struct Arrival {
+    id: String,
+    spec: Spec,
+    done: oneshot::Sender<bool>,
+}
+
+/// Accepts submissions, as many at once as have gathered while the budget or
+/// the last commit was waited for: a rush costs few writes.
+pub async fn keep_accepting(node: Rc<Node>) {
     loop {
-        // Safety 1: accepted means committed. The guard makes a repeat, here
-        // or on another controller, find the first one.
-        let guards = vec![guard(job_key(&id), 0)];
-        let writes = vec![put(job_key(&id), &job)];
-        let left = ACCEPT_WAIT.saturating_sub(began.elapsed());
-        let commit = node.commit(Class::Accept, guards, writes);
-        match tokio::time::timeout(left, commit).await {
-            Ok(Ok(_)) => {
-                tracing::debug!(job = id, "accepted");
-                let state = JobState {
-                    id: &id,
-                    stage: JobStage::Queued,
-                    done: None,
-                    running: None,
-                };
-                return Response::json(201, &state);
+        node.arrivals_wanted.notified().await;
+        while !node.arrivals.borrow().is_empty() {
+            node.store.ready(Class::Accept, 1).await;
+            accept_some(&node).await;
+        }
+    }
+}
+
+async fn accept_some(node: &Node) {
+    let ops = node.settings.deployment.state.txn_ops;
+    let most = node.settings.value_bytes() * 9 / 10;
+    let mut taken: Vec<Arrival> = Vec::new();
+    let mut arrivals = Arrivals {
+        born: node.view.borrow().revision,
+        jobs: BTreeMap::new(),
+    };
+    let mut bytes = 0;
+    // Each is a condition, and the record of all of them one more.
+    while taken.len() < ops * 2 {
+        let Some(next) = node.arrivals.borrow_mut().pop_front() else {
+            break;
+        };
+        // Its user has gone, or asks again.
+        if next.done.is_closed() {
+            continue;
+        }
+        let known = {
+            let view = node.view.borrow();
+            let twice = arrivals.jobs.contains_key(&next.id);
+            twice || view.jobs.contains_key(&next.id)
+        };
+        if known {
+            let _ = next.done.send(false);
+            continue;
+        }
+        bytes += serde_json::to_vec(&next.spec).map_or(most, |v| v.len()) + next.id.len() + 4;
+        if bytes > most && !taken.is_empty() {
+            node.arrivals.borrow_mut().push_front(next);
+            break;
+        }
+        arrivals.jobs.insert(next.id.clone(), next.spec.clone());
+        taken.push(next);
+    }
+    let mut guards: Vec<Guard> = taken.iter().map(|a| guard(job_key(&a.id), 0)).collect();
+    let write = match taken.as_slice() {
+        [] => return,
+        [one] => put(job_key(&one.id), &Job::new(one.spec.clone(), arrivals.born)),
+        _ => {
+            let number = node.rng.borrow_mut().random::<u64>();
+            let key = arrivals_key(&format!("{}-{number:x}", node.name()));
+            guards.push(guard(key.clone(), 0));
+            put(key, &arrivals)
+        }
+    };
+    match node.commit(Class::Accept, guards, vec![write]).await {
+        Ok(_) => {
+            tracing::debug!(jobs = taken.len(), "accepted");
+            for one in taken {
+                let _ = one.done.send(true);
             }
-            Ok(Err(StoreError::Conflict(_))) => {
-                let left = ACCEPT_WAIT.saturating_sub(began.elapsed());
-                return poll_within(node, &id, left.max(POLL_WAIT)).await;
+        }
+        Err(StoreError::Conflict(keys)) => {
+            // Those are known by now, to another controller or by a commit of
+            // our own that got no answer; the rest go into the next commit.
+            for one in taken.into_iter().rev() {
+                if keys.contains(&job_key(&one.id)) {
+                    let _ = one.done.send(false);
+                } else {
+                    node.arrivals.borrow_mut().push_front(one);
+                }
             }
-            Ok(Err(_)) if began.elapsed() < ACCEPT_WAIT / 2 => {
-                tokio::time::sleep(node.store.jitter(node.request_gap() * 4)).await;
+        }
+        Err(error) => {
+            tracing::debug!(%error, "not accepted");
+            // It may have happened. Trying again is harmless: jobs that two
+            // such records name are one job.
+            for one in taken.into_iter().rev() {
+                node.arrivals.borrow_mut().push_front(one);
             }
-            _ => return busy(),
+            tokio::time::sleep(node.store.jitter(node.request_gap() * 4)).await;
         }
     }
 }
--- /dev/null
+++ b/src/draft.rs
@@ -0,0 +1,240 @@
+//! One commit in the making: records as they will be, each touched once.
+//!
+//! Ends, admissions and stops are laid into the same draft, so that a round
+//! writes every job, team and part at most once however many of its tasks
+//! have changed. The service's writes grow with rounds, not with tasks.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::admission::Place;
+use crate::machines::EndKey;
+use crate::model::{Job, Life, Outcome, Part, Room, Spec, Team};
+use crate::node::{guard, put};
+use crate::view::{View, job_key, machine_key, part_id, part_key, team_key};
+use crate::wire::{Guard, Write};
+
+/// Conditions that a commit may have for each of its writes, by the protocol.
+const GUARDS_PER_WRITE: usize = 4;
+
+pub struct Draft<'a> {
+    view: &'a View,
+    /// The most records that one commit may write.
+    pub most: usize,
+    pub jobs: BTreeMap<String, Job>,
+    teams: BTreeMap<String, Room>,
+    parts: BTreeMap<String, Part>,
+    /// Machines whose records must be as they are, but are not written.
+    machines: BTreeSet<String>,
+}
+
+/// What became of an end.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Released {
+    Yes,
+    /// The commit is full: it goes into the next.
+    Full,
+    /// Nothing is booked any more, or what proved it no longer holds.
+    Stale,
+}
+
+impl<'a> Draft<'a> {
+    pub fn new(view: &'a View, most: usize) -> Self {
+        Draft {
+            view,
+            most,
+            jobs: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            machines: BTreeSet::new(),
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.jobs.len() + self.teams.len() + self.parts.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// A job as this draft has it.
+    pub fn job(&self, id: &str) -> Option<&Job> {
+        let known = || self.view.jobs.get(id).map(|e| &e.value);
+        self.jobs.get(id).or_else(known)
+    }
+
+    fn has_room(&self, job: &str, team: Option<&str>, parts: &BTreeSet<&str>) -> bool {
+        let new = usize::from(!self.jobs.contains_key(job))
+            + usize::from(team.is_some_and(|t| !self.teams.contains_key(t)))
+            + parts
+                .iter()
+                .filter(|p| !self.parts.contains_key(**p))
+                .count();
+        self.len() + new <= self.most
+    }
+
+    fn edit_job(&mut self, id: &str) -> Option<&mut Job> {
+        if !self.jobs.contains_key(id) {
+            let job = self.view.jobs.get(id)?.value.clone();
+            self.jobs.insert(id.to_string(), job);
+        }
+        self.jobs.get_mut(id)
+    }
+
+    fn edit_team(&mut self, team: &str) -> &mut Room {
+        let view = self.view;
+        self.teams
+            .entry(team.to_string())
+            .or_insert_with(|| view.team_used(team))
+    }
+
+    fn edit_part(&mut self, id: &str) -> &mut Part {
+        let view = self.view;
+        self.parts.entry(id.to_string()).or_insert_with(|| {
+            let known = view.parts.get(id).map(|e| e.value.clone());
+            known.unwrap_or_default()
+        })
+    }
+
+    /// Releases a booking whose task is surely gone. `node` and `incarnation`
+    /// are those of the controller that has the proof.
+    pub fn release(
+        &mut self,
+        key: &EndKey,
+        outcome: Outcome,
+        node: &str,
+        incarnation: u64,
+    ) -> Released {
+        // Safety 3: what proved the end holds only while the machine is still
+        // ours, or once it is gone for good; the guard on its record makes
+        // the commit depend on it.
+        let machine = match self.view.machines.get(&key.machine) {
+            Some(e)
+                if e.value.life == Life::Gone
+                    || (e.value.holder == node && e.value.incarnation == incarnation) =>
+            {
+                &e.value
+            }
+            _ => return Released::Stale,
+        };
+        let Some(job) = self.job(&key.job) else {
+            return Released::Stale;
+        };
+        let Some(spec) = job.spec.clone() else {
+            return Released::Stale;
+        };
+        if job.find(&key.machine, key.attempt, key.task).is_none() {
+            return Released::Stale;
+        }
+        let part = part_id(&machine.zone, &machine.part);
+        let in_part = |p: &Part| p.machines.contains_key(&key.machine);
+        let has_slot = match self.parts.get(&part) {
+            Some(p) => in_part(p),
+            None => self
+                .view
+                .parts
+                .get(&part)
+                .is_some_and(|e| in_part(&e.value)),
+        };
+        let parts = has_slot.then_some(part.as_str()).into_iter().collect();
+        let most = self.most * (GUARDS_PER_WRITE - 1);
+        if !self.has_room(&key.job, Some(&spec.team), &parts)
+            || (self.machines.len() >= most && !self.machines.contains(&key.machine))
+        {
+            return Released::Full;
+        }
+        if let Some(job) = self.edit_job(&key.job) {
+            job.release(&key.machine, key.attempt, key.task, outcome);
+        }
+        *self.edit_team(&spec.team) -= spec.need;
+        if has_slot && let Some(slot) = self.edit_part(&part).machines.get_mut(&key.machine) {
+            slot.free += spec.need;
+        }
+        self.machines.insert(key.machine.clone());
+        Released::Yes
+    }
+
+    /// Books a job's waiting tasks; false when the commit is full.
+    pub fn book(&mut self, id: &str, spec: &Spec, places: &[Place]) -> bool {
+        let parts: BTreeSet<&str> = places.iter().map(|p| &*p.part).collect();
+        if !self.has_room(id, Some(&spec.team), &parts) {
+            return false;
+        }
+        let Some(job) = self.edit_job(id) else {
+            return false;
+        };
+        book(job, spec, places);
+        for place in places {
+            if let Some(slot) = self
+                .edit_part(&place.part)
+                .machines
+                .get_mut(&*place.machine)
+            {
+                slot.free -= spec.need;
+            }
+        }
+        *self.edit_team(&spec.team) += spec.need.times(places.len());
+        true
+    }
+
+    /// Changes jobs alone; false when the commit is full.
+    pub fn fits_jobs<'b>(&self, ids: impl Iterator<Item = &'b str>) -> bool {
+        let new: BTreeSet<&str> = ids.filter(|id| !self.jobs.contains_key(*id)).collect();
+        self.len() + new.len() <= self.most
+    }
+
+    pub fn change(&mut self, id: &str, edit: impl FnOnce(&mut Job)) {
+        if let Some(job) = self.edit_job(id) {
+            edit(job);
+        }
+    }
+
+    /// Guards and writes every record that the draft has touched.
+    pub fn into_commit(self) -> (Vec<Guard>, Vec<Write>) {
+        let mut guards = Vec::new();
+        let mut writes = Vec::new();
+        for (id, job) in &self.jobs {
+            guards.push(guard(job_key(id), self.view.job_version(id)));
+            writes.push(put(job_key(id), job));
+        }
+        for (name, used) in self.teams {
+            guards.push(guard(team_key(&name), self.view.team_version(&name)));
+            writes.push(put(team_key(&name), &Team { used }));
+        }
+        for (id, part) in &self.parts {
+            guards.push(guard(part_key(id), self.view.part_version(id)));
+            writes.push(put(part_key(id), part));
+        }
+        for id in &self.machines {
+            let version = self.view.machines.get(id).map_or(0, |e| e.version);
+            guards.push(guard(machine_key(id), version));
+        }
+        (guards, writes)
+    }
+}
+
+/// Books the places for the job's next waiting tasks. A gang's attempt is new.
+/// Tasks that were never started share the first attempt, so that those on one
+/// machine share one run in the job's record; those that were get a new one.
+pub fn book(job: &mut Job, spec: &Spec, places: &[Place]) {
+    job.cleared = false;
+    let again = job.attempt.max(1) + 1;
+    if spec.is_gang() {
+        job.attempt += 1;
+    } else {
+        job.attempt = job.attempt.max(1);
+    }
+    for (i, place) in places.iter().enumerate() {
+        let (task, attempt) = if spec.is_gang() {
+            (Some(i as u32), job.attempt)
+        } else if let Some(task) = job.retry.pop_first() {
+            job.attempt = again;
+            (Some(task), again)
+        } else {
+            (job.take_fresh(), 1)
+        };
+        if let Some(task) = task {
+            job.book(&place.machine, &place.zone, attempt, task);
+        }
+    }
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -14,11 +14,14 @@
 
 use crate::admission::{self, Care, Hints, Plan};
 use crate::http::Response;
-use crate::model::{Hire, Job, Life, Machine, Renter, Room, Slot, Spec, Types};
+use crate::model::{Hire, Job, Life, Machine, Renter, Room, Spec, Types};
 use crate::node::{Node, guard, put};
 use crate::policy::MachineFacts;
 use crate::store::{Class, StoreError};
-use crate::view::{FLEET_KEY, TYPES_KEY, View, hire_key, job_key, machine_key, node_key, zone_key};
+use crate::view::{
+    Entry, FLEET_KEY, TYPES_KEY, View, arrivals_key, hire_key, job_key, machine_key, node_key,
+    part_id, part_key,
+};
 use crate::wire::{
     Guard, Kind, ListedStage, MachineList, MachineNames, MachineType, MachineTypes, RentRequest,
     Report, Write,
@@ -34,6 +37,10 @@
     pub reports: HashMap<String, Report>,
     /// When a machine was last sent to a controller of its own zone.
     pub sent_home: HashMap<String, Instant>,
+    /// When a machine was last sent back to its holder.
+    pub sent_back: HashMap<String, Instant>,
+    /// When any was sent home that another controller holds.
+    pub last_sent_home: Option<Instant>,
     /// Machines with a notice that are not draining yet.
     pub recalled: HashSet<String>,
     /// Offers that were refused, and how often in a row.
@@ -225,15 +232,26 @@
     }
 }
 
-pub async fn keep_fleet(node: Rc<Node>) {
+/// Keeps the state lease by a loop of its own: the cloud's answers and the
+/// budget may hold up the rest for longer than it lasts.
+pub async fn keep_leases(node: Rc<Node>) {
+    let tick = node.settings.lease() / 16;
     loop {
-        let tick = node.settings.report().min(node.settings.lease() / 8) / 2;
         sleep(node.store.jitter(tick)).await;
         if !node.view.borrow().loaded {
             continue;
         }
         if let Err(error) = keep_lease(&node).await {
-            tracing::debug!(%error, "renter's lease");
+            tracing::debug!(%error, "state lease");
+        }
+    }
+}
+
+pub async fn keep_fleet(node: Rc<Node>) {
+    loop {
+        let tick = node.settings.report().min(node.settings.lease() / 8) / 2;
+        sleep(node.store.jitter(tick)).await;
+        if !node.view.borrow().loaded {
             continue;
         }
         if node.has_state() {
@@ -268,15 +286,16 @@
         machine.life = life;
         let mut guards = vec![guard(machine_key(id), entry.version)];
         let mut writes = vec![put(machine_key(id), &machine)];
+        let part = part_id(&machine.zone, &machine.part);
         if life != Life::Active
-            && let Some(zone) = view.zones.get(&machine.zone)
+            && let Some(entry) = view.parts.get(&part)
         {
-            let mut record = zone.value.clone();
-            // The zone is guarded even if the machine is not in its record:
+            let mut record = entry.value.clone();
+            // The part is guarded even if the machine is not in its record:
             // a claim could be putting it there just now.
-            guards.push(guard(zone_key(&machine.zone), zone.version));
+            guards.push(guard(part_key(&part), entry.version));
             if record.machines.remove(id).is_some() {
-                writes.push(put(zone_key(&machine.zone), &record));
+                writes.push(put(part_key(&part), &record));
             }
         }
         (guards, writes)
@@ -388,6 +407,10 @@
 
 async fn send_away(node: &Node, leaving: Vec<(String, Life, &'static str)>) {
     for (id, life, why) in leaving {
+        if !node.view.borrow().machines.contains_key(&id) {
+            give_up(node, &id).await;
+            continue;
+        }
         if set_life(node, &id, life).await {
             tracing::info!(machine = id, ?life, why, "leaves service");
         }
@@ -398,6 +421,7 @@
 async fn tend(node: &Node) {
     describe(node);
     finish_returns(node).await;
+    settle_records(node).await;
     read_list(node).await;
     send_away(node, judge(node)).await;
     resolve_hires(node).await;
@@ -468,7 +492,8 @@
     let ops = settings.deployment.state.txn_ops;
     let plan = Plan::of(&view);
     // Places that stay for work on accelerators: two of its usual jobs'.
-    let hints = Hints { view: &view };
+    let home = node.name();
+    let hints = Hints { view: &view, home };
     let mut best: Option<(f64, &String, Vec<&str>)> = None;
     for (id, entry) in &view.machines {
         let m = &entry.value;
@@ -487,8 +512,8 @@
             continue;
         }
         let mut without = plan.clone();
-        if let Some(zone) = without.zones.get_mut(&m.zone) {
-            zone.machines.remove(id);
+        if let Some(at) = without.find(&view, id) {
+            without.spots[at].free = Room::default();
         }
         if spare_places(&view, &without) < 2 * gpu.tasks as usize {
             continue;
@@ -517,7 +542,7 @@
             match admission::fit(&moved, &spec, &without, &hints, settings, Care::Strict) {
                 Ok(places) if places.len() >= count => {
                     for p in &places {
-                        without.take(&p.zone, &p.machine, &spec.team, spec.need);
+                        without.take(p, &spec.team, spec.need);
                     }
                     true
                 }
@@ -533,16 +558,17 @@
     let entry = view.machines.get(id)?;
     let mut machine = entry.value.clone();
     machine.life = Life::Draining;
-    let zone = view.zones.get(&machine.zone)?;
-    let mut record = zone.value.clone();
+    let part_id = part_id(&machine.zone, &machine.part);
+    let part = view.parts.get(&part_id)?;
+    let mut record = part.value.clone();
     record.machines.remove(id);
     let mut guards = vec![
         guard(machine_key(id), entry.version),
-        guard(zone_key(&machine.zone), zone.version),
+        guard(part_key(&part_id), part.version),
     ];
     let mut writes = vec![
         put(machine_key(id), &machine),
-        put(zone_key(&machine.zone), &record),
+        put(part_key(&part_id), &record),
     ];
     for job_id in jobs {
         let mut job = view.jobs[job_id].value.clone();
@@ -564,9 +590,10 @@
         .borrow()
         .hires
         .iter()
+        .filter(|(_, e)| e.value.machines.is_empty())
         .map(|(id, e)| (id.clone(), e.version, e.value.clone()))
         .collect();
-    for (id, version, hire) in hires {
+    for (id, version, mut hire) in hires {
         let request = RentRequest {
             request: &id,
             kind: &hire.kind,
@@ -580,37 +607,23 @@
         let Some(r) = node.cloud("POST", "/rentals", Some(body)).await else {
             return;
         };
-        let mut guards = vec![guard(hire_key(&id), version)];
-        let mut writes = vec![Write::Delete { key: hire_key(&id) }];
         let mut short = true;
         if r.status == 200
             && let Ok(names) = r.parse::<MachineNames>()
         {
             short = (names.machines.len() as u32) < hire.count;
             let view = node.view.borrow();
-            for machine in names.machines {
-                if view.machines.contains_key(&machine) {
-                    // Its worker was quicker than the answer.
-                    continue;
-                }
-                let record = Machine {
-                    holder: String::new(),
-                    incarnation: 0,
-                    token: 0,
-                    life: Life::Booting,
-                    kind: hire.kind.clone(),
-                    zone: hire.zone.clone(),
-                    spot: hire.spot,
-                };
-                guards.push(guard(machine_key(&machine), 0));
-                writes.push(put(machine_key(&machine), &record));
-            }
-        } else {
+            // The workers of some may have been quicker than the answer.
+            hire.machines = names.machines;
+            hire.machines.retain(|m| !view.machines.contains_key(m));
+        }
+        if short {
             tracing::info!(
                 kind = hire.kind,
                 zone = hire.zone,
                 spot = hire.spot,
                 status = r.status,
+                got = hire.machines.len(),
                 "no capacity"
             );
         }
@@ -629,14 +642,118 @@
                 fleet.refused.remove(&offer);
             }
         }
-        // At most txn_ops machines are asked for at once, see `demand`.
-        if let Err(error) = node.commit(Class::Claim, guards, writes).await {
+        let key = hire_key(&id);
+        let guards = vec![guard(key.clone(), version)];
+        let write = match hire.machines.is_empty() {
+            true => Write::Delete { key },
+            false => put(key, &hire),
+        };
+        if let Err(error) = node.commit(Class::Claim, guards, vec![write]).await {
             // The next pass asks the cloud again and gets the same names.
             tracing::debug!(%error, "rental not settled");
         }
     }
 }
 
+/// Drops what has served its turn: rentals whose machines all have a record of
+/// their own, arrivals whose jobs all have. Those records never go while this
+/// one stands (`drop_gone`) or at all, so what the view shows holds.
+async fn settle_records(node: &Node) {
+    let (guards, writes): (Vec<Guard>, Vec<Write>) = {
+        let view = node.view.borrow();
+        let hires = view.hires.iter().filter(|(_, e)| {
+            let machines = &e.value.machines;
+            !machines.is_empty() && machines.iter().all(|m| view.machines.contains_key(m))
+        });
+        let arrivals = view.arrivals.iter().filter(|(_, e)| {
+            let mut jobs = e.value.jobs.keys();
+            jobs.all(|id| view.job_version(id) > 0)
+        });
+        let hires = hires.map(|(id, e)| (hire_key(id), e.version));
+        let arrivals = arrivals.map(|(id, e)| (arrivals_key(id), e.version));
+        hires
+            .chain(arrivals)
+            .take(node.settings.deployment.state.txn_ops)
+            .map(|(key, version)| (guard(key.clone(), version), Write::Delete { key }))
+            .unzip()
+    };
+    if !writes.is_empty()
+        && let Err(error) = node.commit(Class::Room, guards, writes).await
+    {
+        tracing::debug!(%error, "settled records stay");
+    }
+}
+
+/// The rental that still has this machine among those that boot.
+fn hire_of<'a>(view: &'a View, machine: &str) -> Option<(&'a String, &'a Entry<Hire>)> {
+    let mut hires = view.hires.iter();
+    hires.find(|(_, e)| e.value.machines.iter().any(|m| m == machine))
+}
+
+/// Machines that boot: those of rentals that have no record of their own yet,
+/// and those that were found in the cloud's list.
+fn booting(view: &View) -> impl Iterator<Item = (&str, &str, &str, bool)> {
+    let rented = view.hires.values().flat_map(|e| {
+        let hire = &e.value;
+        hire.machines
+            .iter()
+            .filter(|m| !view.machines.contains_key(*m))
+            .map(|m| {
+                (
+                    m.as_str(),
+                    hire.kind.as_str(),
+                    hire.zone.as_str(),
+                    hire.spot,
+                )
+            })
+    });
+    let found = view.machines.iter().filter_map(|(id, e)| {
+        let m = &e.value;
+        (m.life == Life::Booting).then_some((id.as_str(), m.kind.as_str(), m.zone.as_str(), m.spot))
+    });
+    rented.chain(found)
+}
+
+/// Gives up a machine that has not come up: it gets a record, which says that
+/// it goes back.
+async fn give_up(node: &Node, id: &str) {
+    let (guards, writes) = {
+        let view = node.view.borrow();
+        if view.machines.contains_key(id) {
+            return;
+        }
+        let Some((_, hire)) = hire_of(&view, id) else {
+            return;
+        };
+        let record = Machine {
+            life: Life::Returning,
+            ..new_machine(&hire.value.kind, &hire.value.zone, hire.value.spot)
+        };
+        (
+            vec![guard(machine_key(id), 0)],
+            vec![put(machine_key(id), &record)],
+        )
+    };
+    match node.commit(Class::Claim, guards, writes).await {
+        Ok(_) => tracing::info!(machine = id, "never came up: goes back"),
+        Err(error) => tracing::debug!(machine = id, %error, "not given up"),
+    }
+}
+
+/// A machine that nobody has claimed yet.
+fn new_machine(kind: &str, zone: &str, spot: bool) -> Machine {
+    Machine {
+        holder: String::new(),
+        incarnation: 0,
+        token: 0,
+        life: Life::Booting,
+        kind: kind.to_string(),
+        zone: zone.to_string(),
+        spot,
+        part: String::new(),
+    }
+}
+
 /// Returns what is to go, and drops the records of what is gone.
 async fn finish_returns(node: &Node) {
     let (returning, gone): (Vec<String>, Vec<(String, u64)>) = {
@@ -665,33 +782,87 @@
             && let Some(r) = node.cloud("POST", "/rentals/return", Some(body)).await
             && r.status == 200
         {
+            let now = Instant::now();
+            for some in returning.chunks(node.settings.deployment.state.txn_ops) {
+                set_gone(node, some).await;
+            }
+            let mut fleet = node.fleet.borrow_mut();
             for id in returning {
-                set_life(node, &id, Life::Gone).await;
-                let mut fleet = node.fleet.borrow_mut();
-                fleet.gone.insert(id.clone(), Instant::now());
                 fleet.reports.remove(&id);
                 fleet.empty_since.remove(&id);
                 fleet.first_seen.remove(&id);
+                fleet.gone.insert(id, now);
             }
         }
     }
     if !gone.is_empty() {
-        let guards = gone
-            .iter()
-            .map(|(id, v)| guard(machine_key(id), *v))
-            .collect();
-        let writes = gone
-            .iter()
-            .map(|(id, _)| Write::Delete {
-                key: machine_key(id),
-            })
-            .collect();
+        let (guards, writes) = drop_gone(node, &gone);
         if let Err(error) = node.commit(Class::Room, guards, writes).await {
             tracing::debug!(%error, "records of gone machines stay");
         }
     }
 }
 
+/// Records that the cloud has confirmed the return of these machines. None of
+/// them is in a part's record any more: `returning` has taken it out.
+async fn set_gone(node: &Node, ids: &[String]) {
+    let (guards, writes) = {
+        let view = node.view.borrow();
+        let returning = ids.iter().filter_map(|id| {
+            let entry = view.machines.get(id)?;
+            (entry.value.life == Life::Returning).then(|| {
+                let mut machine = entry.value.clone();
+                machine.life = Life::Gone;
+                (
+                    guard(machine_key(id), entry.version),
+                    put(machine_key(id), &machine),
+                )
+            })
+        });
+        let pairs: (Vec<Guard>, Vec<Write>) = returning.unzip();
+        pairs
+    };
+    if !writes.is_empty()
+        && let Err(error) = node.commit(Class::Claim, guards, writes).await
+    {
+        tracing::debug!(%error, "returns not recorded");
+    }
+}
+
+/// Drops the records of gone machines, and their names from the rental that
+/// may still list them: they would count as booting again.
+fn drop_gone(node: &Node, gone: &[(String, u64)]) -> (Vec<Guard>, Vec<Write>) {
+    let view = node.view.borrow();
+    let ops = node.settings.deployment.state.txn_ops;
+    let mut guards = Vec::new();
+    let mut writes = Vec::new();
+    let mut hires: BTreeMap<&String, Hire> = BTreeMap::new();
+    for (id, version) in gone {
+        let hire = hire_of(&view, id);
+        let new = 1 + usize::from(hire.is_some_and(|(h, _)| !hires.contains_key(h)));
+        if writes.len() + hires.len() + new > ops {
+            break;
+        }
+        guards.push(guard(machine_key(id), *version));
+        writes.push(Write::Delete {
+            key: machine_key(id),
+        });
+        if let Some((hire_id, entry)) = hire {
+            let hire = hires.entry(hire_id).or_insert_with(|| entry.value.clone());
+            hire.machines.retain(|m| m != id);
+        }
+    }
+    for (id, hire) in hires {
+        let key = hire_key(id);
+        guards.push(guard(key.clone(), view.hires[id].version));
+        writes.push(match hire.machines.is_empty() {
+            true => Write::Delete { key },
+            false => put(key, &hire),
+        });
+    }
+    (guards, writes)
+}
+
 /// Reads the cloud's list: adopts what nobody knows, gives up what failed.
 async fn read_list(node: &Node) {
     let lag = Duration::from_secs_f64(node.settings.deployment.cloud.list_lag_s);
@@ -728,8 +899,10 @@
     let mut guards = Vec::new();
     let mut writes = Vec::new();
     let mut failed = Vec::new();
+    let mut failed_boots = Vec::new();
     {
         let view = node.view.borrow();
+        let unnamed = view.hires.values().any(|e| e.value.machines.is_empty());
         let mut fleet = node.fleet.borrow_mut();
         fleet.gone.retain(|_, t| t.elapsed() < lag * 6);
         for m in &all {
@@ -740,16 +913,15 @@
                     }
                 }
                 None if fleet.gone.contains_key(&m.id) || writes.len() == ops => {}
+                None if hire_of(&view, &m.id).is_some() => {
+                    if m.stage == ListedStage::Failed {
+                        failed_boots.push(m.id.clone());
+                    }
+                }
+                // The answer to a rental that is under way will name it.
+                None if unnamed => {}
                 None => {
-                    let record = Machine {
-                        holder: String::new(),
-                        incarnation: 0,
-                        token: 0,
-                        life: Life::Booting,
-                        kind: m.kind.clone(),
-                        zone: m.zone.clone(),
-                        spot: m.spot,
-                    };
+                    let record = new_machine(&m.kind, &m.zone, m.spot);
                     tracing::info!(machine = m.id, "found in the cloud's list");
                     guards.push(guard(machine_key(&m.id), 0));
                     writes.push(put(machine_key(&m.id), &record));
@@ -765,6 +937,9 @@
     for id in failed {
         set_life(node, &id, Life::Returning).await;
     }
+    for id in failed_boots {
+        give_up(node, &id).await;
+    }
 }
 
 /// Machines held by this controller that should leave, and why. Only the
@@ -834,14 +1009,28 @@
     let Some(gpu) = &view.gpu_spec else {
         return 0;
     };
-    plan.zones
+    let allowed: Vec<bool> = view
+        .classes
+        .iter()
+        .map(|c| gpu.allows(&c.kind, &c.zone, c.spot))
+        .collect();
+    plan.spots
         .iter()
-        .flat_map(|(z, zone)| zone.machines.values().map(move |s| (z, s)))
-        .filter(|(z, s)| gpu.allows(&s.kind, z, s.spot))
-        .map(|(_, s)| s.free.slots(&gpu.need))
+        .filter(|s| allowed[s.class as usize])
+        .map(|s| s.free.slots(&gpu.need))
         .sum()
 }
 
+fn machine_facts(kind: &MachineType, spot: bool) -> MachineFacts {
+    MachineFacts {
+        boot_s: kind.boot_s,
+        price: cost(kind, spot),
+        cpus: kind.cpus,
+        gpus: kind.gpus,
+        spot,
+    }
+}
+
 /// Machines that the renter sends away, and why.
 fn judge(node: &Node) -> Vec<(String, Life, &'static str)> {
     let now = Instant::now();
@@ -857,22 +1046,10 @@
         let Some(kind) = view.type_of(&m.kind) else {
             continue;
         };
-        let facts = MachineFacts {
-            boot_s: kind.boot_s,
-            price: cost(kind, m.spot),
-            cpus: kind.cpus,
-            gpus: kind.gpus,
-            spot: m.spot,
-        };
+        let facts = machine_facts(kind, m.spot);
         let policy = &node.settings.policy;
         match m.life {
-            Life::Booting => {
-                let first = *fleet.first_seen.entry(id.clone()).or_insert(now);
-                let limit = Duration::from_secs_f64(policy.boot_limit_s(&facts));
-                if now.saturating_duration_since(first) > limit {
-                    leaving.push((id.clone(), Life::Returning, "never came up"));
-                }
-            }
+            Life::Booting => {}
             Life::Active | Life::Draining => {
                 // A worker whose controller is gone reports to another one
                 // soon, and is claimed by it; if not, it is gone, too.
@@ -915,42 +1092,44 @@
             Life::Returning | Life::Gone => {}
         }
     }
-    let known: HashSet<&String> = view.machines.keys().collect();
-    fleet.first_seen.retain(|id, _| known.contains(id));
-    fleet.sent_home.retain(|id, _| known.contains(id));
-    fleet.empty_since.retain(|id, _| known.contains(id));
+    for (id, kind, _, spot) in booting(&view) {
+        let Some(kind) = view.type_of(kind) else {
+            continue;
+        };
+        let first = *fleet.first_seen.entry(id.to_string()).or_insert(now);
+        let limit = node
+            .settings
+            .policy
+            .boot_limit_s(&machine_facts(kind, spot));
+        if now.saturating_duration_since(first) > Duration::from_secs_f64(limit) {
+            leaving.push((id.to_string(), Life::Returning, "never came up"));
+        }
+    }
+    let mut known: HashSet<&str> = view.machines.keys().map(String::as_str).collect();
+    known.extend(booting(&view).map(|(id, _, _, _)| id));
+    fleet.first_seen.retain(|id, _| known.contains(id.as_str()));
+    fleet.sent_home.retain(|id, _| known.contains(id.as_str()));
+    fleet
+        .empty_since
+        .retain(|id, _| known.contains(id.as_str()));
     leaving
 }
 
 /// Room that is on its way: booting machines and recorded rentals.
 fn add_coming(plan: &mut Plan, view: &View) {
-    let mut add = |id: String, kind: &str, zone: &str, spot: bool| {
-        if let Some(t) = view.type_of(kind) {
-            let slot = Slot {
-                kind: kind.to_string(),
-                spot,
-                free: Room::of_type(t),
-            };
-            plan.zones
-                .entry(zone.to_string())
-                .or_default()
-                .machines
-                .insert(id, slot);
+    let mut add = |kind: &str, zone: &str, spot: bool| {
+        if let Some(t) = view.type_of(kind)
+            && let Some(class) = view.find_class(kind, zone, spot)
+        {
+            plan.add(class, Room::of_type(t));
         }
     };
-    for (id, e) in &view.machines {
-        if e.value.life == Life::Booting {
-            add(id.clone(), &e.value.kind, &e.value.zone, e.value.spot);
-        }
+    for (_, kind, zone, spot) in booting(view) {
+        add(kind, zone, spot);
     }
-    for (id, e) in &view.hires {
-        for n in 0..e.value.count {
-            add(
-                format!("{id}/{n}"),
-                &e.value.kind,
-                &e.value.zone,
-                e.value.spot,
-            );
+    for e in view.hires.values().filter(|e| e.value.machines.is_empty()) {
+        for _ in 0..e.value.count {
+            add(&e.value.kind, &e.value.zone, e.value.spot);
         }
     }
 }
@@ -960,6 +1139,7 @@
 /// become one rental.
 fn demand(node: &Node) -> Vec<Hire> {
     let settings = &node.settings;
+    name_offers(node);
     let view = node.view.borrow();
     let mut hires: BTreeMap<Offer, Hire> = BTreeMap::new();
     if view.types.value.types.is_empty() {
@@ -967,7 +1147,8 @@
     }
     let mut plan = Plan::of(&view);
     add_coming(&mut plan, &view);
-    let hints = Hints { view: &view };
+    let home = "";
+    let hints = Hints { view: &view, home };
     // The work that running independent tasks leave room for soon.
     let mut turnover = running_cpus(&view);
     let now = Instant::now();
@@ -990,15 +1171,15 @@
         let mut barred: HashSet<String> = HashSet::new();
         let mut rented: Option<String> = None;
         // Rent and fill by turns: what is rented for one task serves others.
-        let mut tries = 0;
+        let mut tries = 0u32;
         let mut care = Care::Strict;
         loop {
             match admission::fit(&planned, spec, &plan, &hints, settings, care) {
                 Ok(places) => {
                     for p in &places {
-                        plan.take(&p.zone, &p.machine, &spec.team, spec.need);
+                        plan.take(p, &spec.team, spec.need);
                     }
-                    crate::placement::book(&mut planned, spec, &places);
+                    crate::draft::book(&mut planned, spec, &places);
                 }
                 // More room there does not help: it has its share already.
                 Err(_) if spec.spread => barred.extend(rented.take()),
@@ -1010,7 +1191,7 @@
                 left = left.min(slots);
             }
             tries += 1;
-            if left == 0 || tries > most {
+            if left == 0 || tries > RENT_MOST {
                 break;
             }
             let mut wanted = left as f64;
@@ -1042,7 +1223,7 @@
                 continue;
             };
             rented = Some(offer.1.clone());
-            rent_one(&mut hires, &mut plan, t, offer);
+            rent_one(&view, &mut hires, &mut plan, t, offer);
             if spec.kind == Kind::Array {
                 // The rest of its tasks follow one another in that room.
                 let room = Room::of_type(t).slots(&spec.need);
@@ -1065,30 +1246,44 @@
             };
             let found = best_offer(node, &view, &hires, gpu, 1, &bounds);
             let Some((t, offer)) = found else { break };
-            rent_one(&mut hires, &mut plan, t, offer);
+            rent_one(&view, &mut hires, &mut plan, t, offer);
         }
     }
     hires.into_values().take(most).collect()
 }
 
+/// Every offer is known as a class of machines before the plan counts on it.
+fn name_offers(node: &Node) {
+    let mut view = node.view.borrow_mut();
+    for t in view.types.value.types.clone() {
+        for zone in &t.zones {
+            for spot in [true, false] {
+                view.class(&t.name, zone, spot);
+            }
+        }
+    }
+}
+
 /// One more machine of an offer, with its room in the plan.
-fn rent_one(hires: &mut BTreeMap<Offer, Hire>, plan: &mut Plan, t: &MachineType, offer: Offer) {
+fn rent_one(
+    view: &View,
+    hires: &mut BTreeMap<Offer, Hire>,
+    plan: &mut Plan,
+    t: &MachineType,
+    offer: Offer,
+) {
     let (kind, zone, spot) = offer.clone();
+    if let Some(class) = view.find_class(&kind, &zone, spot) {
+        plan.add(class, Room::of_type(t));
+    }
     let hire = hires.entry(offer).or_insert(Hire {
-        kind: kind.clone(),
-        zone: zone.clone(),
+        kind,
+        zone,
         spot,
         count: 0,
+        machines: Vec::new(),
     });
     hire.count += 1;
-    let id = format!("new/{kind}/{spot}/{}", hire.count);
-    let slot = Slot {
-        kind,
-        spot,
-        free: Room::of_type(t),
-    };
-    let machines = &mut plan.zones.entry(zone).or_default().machines;
-    machines.insert(id, slot);
 }
 
 fn running_cpus(view: &View) -> f64 {
@@ -1113,6 +1308,9 @@
     barred: &'a HashSet<String>,
 }
 
+/// The most machines that one rental may ask for, by the protocol.
+const RENT_MOST: u32 = 50;
+
 /// The offer that is cheapest for each task it would hold of those wanted.
 fn best_offer<'a>(
     node: &Node,
@@ -1124,7 +1322,6 @@
 ) -> Option<(&'a MachineType, Offer)> {
     let now = Instant::now();
     let fleet = node.fleet.borrow();
-    let most = node.settings.deployment.state.txn_ops as u32 - 2;
     let mut best: Option<(f64, &MachineType, Offer)> = None;
     // Work that can wait is not worth any price.
     let cheapest = cheapest_of(view, spec);
@@ -1152,7 +1349,7 @@
                 let offer = (t.name.clone(), zone.clone(), spot);
                 let refused = fleet.refused.get(&offer);
                 if refused.is_some_and(|(until, _)| *until > now)
-                    || hires.get(&offer).is_some_and(|h| h.count >= most)
+                    || hires.get(&offer).is_some_and(|h| h.count >= RENT_MOST)
                 {
                     continue;
                 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod api;
 pub mod cli;
+pub mod draft;
 pub mod fleet;
 pub mod http;
 pub mod machines;
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -12,14 +12,12 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::http::{CallError, Response};
-use crate::model::{Job, Life, Machine, Outcome, Room, Slot, Spec, split_task};
+use crate::model::{Job, Life, Machine, Outcome, Part, Room, Slot, Spec, slot_bytes, split_task};
 use crate::node::{Node, guard, put};
 use crate::settings::CLOCK_DRIFT;
 use crate::store::{Class, StoreError};
-use crate::view::{View, job_key, machine_key, team_key, zone_key};
-use crate::wire::{
-    BeatAnswer, Guard, Order, Orders, Redirect, Report, TaskStage, Verb, Why, Write,
-};
+use crate::view::{View, machine_key, part_id, part_key};
+use crate::wire::{BeatAnswer, Order, Orders, Redirect, Report, TaskStage, Verb, Why};
 
 /// A task's attempt on a machine whose booking is to be released.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -293,6 +291,11 @@
     }
 }
 
+/// The controller whose name a part bears.
+pub fn home_of(part: &str) -> &str {
+    part.rsplit_once('.').map_or("", |(home, _)| home)
+}
+
 impl Node {
     /// The wait after which an order that has shown no effect is repeated.
     fn repeat(&self) -> Duration {
@@ -354,32 +357,84 @@
         Response::json(421, &Redirect { report_to })
     }
 
-    /// A controller in the machine's own zone, if it is up and we are not in
-    /// that zone: reports that cross no zone survive when zones are apart.
-    /// Sent there seldom, as the worker may not reach it.
+    /// The controller that the machine belongs to, if it is up and another
+    /// than this: that of its part, where the commits on its work meet no
+    /// others, or one in its own zone, as reports that cross no zone survive
+    /// when zones are apart. Sent there seldom, as the worker may not reach
+    /// it, and only a few in a while, as each costs that one a claim.
     fn nearer(&self, report: &Report, now: Instant) -> Option<String> {
-        if report.zone == self.settings.zone {
+        let view = self.view.borrow();
+        let machine = view.machines.get(&report.machine).map(|e| &e.value);
+        let home = {
+            let peers = self.peers.borrow();
+            let alive = peers.alive(self, now);
+            let part = machine.map_or("", |m| home_of(&m.part));
+            match alive.iter().find(|n| **n == part) {
+                Some(home) => home.to_string(),
+                None => self.nearest(&report.machine, &report.zone, &alive)?,
+            }
+        };
+        if home == self.name() {
             return None;
         }
+        let ours = self.settings.zone == report.zone;
         let pause = self.settings.lease() * 3;
         let mut fleet = self.fleet.borrow_mut();
         let recent = fleet.sent_home.get(&report.machine);
         if recent.is_some_and(|t| now.saturating_duration_since(*t) < pause) {
             return None;
         }
-        let peers = self.peers.borrow();
-        let alive = peers.alive(self, now);
-        let there = self
-            .settings
-            .others
-            .iter()
-            .filter(|p| p.zone == report.zone && alive.contains(&p.name.as_str()))
-            .map(|p| p.name.as_str());
-        let home = crate::placement::preferred(&report.machine, there)?.to_string();
+        // One that nobody holds yet costs no more there than here.
+        let free = machine.is_none_or(|m| m.holder.is_empty());
+        if !free {
+            let gap = self.request_gap() * if ours { 16 } else { 4 };
+            let last = fleet.last_sent_home;
+            if last.is_some_and(|t| now.saturating_duration_since(t) < gap) {
+                return None;
+            }
+            fleet.last_sent_home = Some(now);
+        }
         fleet.sent_home.insert(report.machine.clone(), now);
         Some(home)
     }
 
+    /// Which of these controllers a machine without a home should report to:
+    /// one of its zone, if there is any.
+    pub fn nearest(&self, machine: &str, zone: &str, alive: &[&str]) -> Option<String> {
+        let zone_of = |name: &str| {
+            let others = &self.settings.others;
+            let peer = others.iter().find(|p| p.name == name);
+            peer.map_or(&self.settings.zone, |p| &p.zone).as_str()
+        };
+        let there: Vec<&str> = alive
+            .iter()
+            .copied()
+            .filter(|n| zone_of(n) == zone)
+            .collect();
+        let choice = if there.is_empty() { alive } else { &there };
+        crate::placement::preferred(machine, choice.iter().copied()).map(str::to_string)
+    }
+
+    /// The controller that holds a machine, if it is up: a worker that has
+    /// lost it for a moment goes back once, which costs no claim.
+    fn send_back(&self, id: &str, machine: Option<&Machine>, now: Instant) -> Option<String> {
+        let m = machine.filter(|m| m.holder != self.name() && m.token > 0)?;
+        let view = self.view.borrow();
+        let up = view.nodes.get(&m.holder)?.value.incarnation == m.incarnation;
+        let peers = self.peers.borrow();
+        if !up || !peers.alive(self, now).contains(&m.holder.as_str()) {
+            return None;
+        }
+        let pause = self.settings.lease();
+        let mut fleet = self.fleet.borrow_mut();
+        let recent = fleet.sent_back.get(id);
+        if recent.is_some_and(|t| now.saturating_duration_since(*t) < pause) {
+            return None;
+        }
+        fleet.sent_back.insert(id.to_string(), now);
+        Some(m.holder.clone())
+    }
+
     /// `POST /agent/beat`.
     pub async fn beat(&self, report: Report) -> Response {
         // Safety 4, the horizon.
@@ -426,8 +481,21 @@
                 },
             );
         }
-        if !self.holds(&id) && !self.claim(&id, &report).await {
-            return Response::unavailable("not claimed yet", 1);
+        if !self.holds(&id) {
+            if let Some(holder) = self.send_back(&id, known.as_ref().map(|m| &m.value), now) {
+                let report_to = Some(holder);
+                return Response::json(421, &Redirect { report_to });
+            }
+            if report.token == 0 && known.is_none_or(|m| m.value.token == 0) {
+                // Nobody has ever held it, so nobody can wait for its lease to
+                // run out: it stays here until it is claimed.
+                self.ask_claim(&id, &report);
+                let orders = vec![];
+                return Response::json(200, &BeatAnswer { token: 0, orders });
+            }
+            if !self.claim(&id, &report).await {
+                return Response::unavailable("not claimed yet", 1);
+            }
         }
         let recalled = report.notice_s.is_some();
         let at = (report.session, report.seq);
@@ -462,7 +530,6 @@
         }
         note_orders(hand, &plan.orders, now);
         hand.answered = now;
-        self.poke.notify_one();
         Response::json(
             200,
             &BeatAnswer {
@@ -500,7 +567,7 @@
         let mut done = self.ask_claim(id, report);
         // A worker drops an answer that takes 4 s; a beat that cannot be
         // claimed soon is refused while that still helps it.
-        let limit = Duration::from_secs_f64(2.0);
+        let limit = Duration::from_secs_f64(3.2);
         let _ = timeout(limit, done.wait_for(|d| *d)).await;
         self.holds(id)
     }
@@ -524,24 +591,68 @@
     }
 }
 
+/// The part that a machine belongs to from now on: the first of its home
+/// controller's in its zone whose record has room for it for good. All that
+/// ever belonged to a part count, whether they take work just now or not.
+fn choose_part(
+    node: &Node,
+    view: &View,
+    joining: &BTreeMap<String, Part>,
+    id: &str,
+    machine: &Machine,
+) -> String {
+    let home = {
+        let now = Instant::now();
+        let peers = node.peers.borrow();
+        let home = node.nearest(id, &machine.zone, &peers.alive(node, now));
+        home.unwrap_or_else(|| node.name().to_string())
+    };
+    let mut full: HashMap<&str, usize> = HashMap::new();
+    for (m, e) in &view.machines {
+        if e.value.zone == machine.zone {
+            *full.entry(&e.value.part).or_default() += slot_bytes(m, &e.value.kind);
+        }
+    }
+    let most = node.settings.value_bytes() * 9 / 10;
+    let mut number = 0;
+    loop {
+        let part = format!("{home}.{number}");
+        let here = full.get(part.as_str()).copied().unwrap_or(0);
+        let joins = joining.get(&part_id(&machine.zone, &part));
+        let joins: usize = joins
+            .iter()
+            .flat_map(|p| &p.machines)
+            .filter(|(m, _)| {
+                view.machines
+                    .get(*m)
+                    .is_none_or(|e| e.value.part.is_empty())
+            })
+            .map(|(m, s)| slot_bytes(m, &s.kind))
+            .sum();
+        // One that alone is too long for a record still has a part.
+        if here + joins == 0 || here + joins + slot_bytes(id, &machine.kind) <= most {
+            return part;
+        }
+        number += 1;
+    }
+}
+
 async fn claim_some(node: &Node) -> Result<(), StoreError> {
     let ops = node.settings.deployment.state.txn_ops;
-    let zones = node.settings.deployment.zones.len();
-    let wanted: Vec<String> = node
-        .claims
-        .borrow()
-        .keys()
-        .take(ops.saturating_sub(zones).max(1))
-        .cloned()
-        .collect();
+    let mut wanted: Vec<String> = Vec::new();
     let mut guards = Vec::new();
     let mut writes = Vec::new();
     let mut taken: Vec<(String, u64)> = Vec::new();
     {
         let view = node.view.borrow();
         let fleet = node.fleet.borrow();
-        let mut records = BTreeMap::new();
-        for id in &wanted {
+        let mut records: BTreeMap<String, Part> = BTreeMap::new();
+        for id in node.claims.borrow().keys() {
+            // A claim writes a machine and perhaps a part that is new to it.
+            if taken.len() + records.len() + 2 > ops {
+                break;
+            }
+            wanted.push(id.clone());
             let Some(report) = fleet.reports.get(id) else {
                 continue;
             };
@@ -555,6 +666,7 @@
                     kind: report.kind.clone(),
                     zone: report.zone.clone(),
                     spot: report.spot,
+                    part: String::new(),
                 },
                 |e| e.value.clone(),
             );
@@ -567,22 +679,24 @@
             machine.token = machine.token.max(report.token) + 1;
             machine.holder = node.name().to_string();
             machine.incarnation = node.incarnation;
+            if machine.part.is_empty() {
+                machine.part = choose_part(node, &view, &records, id, &machine);
+            }
+            let part = part_id(&machine.zone, &machine.part);
             guards.push(guard(machine_key(id), known.map_or(0, |e| e.version)));
             writes.push(put(machine_key(id), &machine));
             taken.push((id.clone(), machine.token));
             // A machine that is new to its zone's record joins it at once.
             if machine.life == Life::Active
-                && view.slot(&machine.zone, id).is_none()
+                && view.slot(id).is_none()
                 && let Some(kind) = view.type_of(&machine.kind)
             {
                 let free = Room::of_type(kind) - view.booked_on(id);
-                let zone = records.entry(machine.zone.clone()).or_insert_with(|| {
-                    view.zones
-                        .get(&machine.zone)
-                        .map(|e| e.value.clone())
-                        .unwrap_or_default()
+                let record = records.entry(part.clone()).or_insert_with(|| {
+                    let known = view.parts.get(&part).map(|e| e.value.clone());
+                    known.unwrap_or_default()
                 });
-                zone.machines.insert(
+                record.machines.insert(
                     id.clone(),
                     Slot {
                         kind: machine.kind.clone(),
@@ -592,9 +706,9 @@
                 );
             }
         }
-        for (name, zone) in records {
-            guards.push(guard(zone_key(&name), view.zone_version(&name)));
-            writes.push(put(zone_key(&name), &zone));
+        for (id, part) in records {
+            guards.push(guard(part_key(&id), view.part_version(&id)));
+            writes.push(put(part_key(&id), &part));
         }
     }
     if !writes.is_empty() {
@@ -624,26 +738,37 @@
         }
         // The worker learns the token now, and its report under it is what
         // launches wait for.
-        node.poke.notify_one();
+        node.poke_machine(id);
     }
     Ok(())
 }
 
-/// Sends orders directly, whenever bookings or reports have changed.
+/// Sends orders directly, whenever bookings or reports have changed: to the
+/// machines that these concern, and now and then to all.
 pub async fn keep_orders(node: Rc<Node>) {
     let tick = node.settings.report() / 2;
+    let mut swept = Instant::now();
     loop {
         let _ = timeout(tick, node.poke.notified()).await;
-        let _ = std::mem::take(&mut node.view.borrow_mut().changes.jobs);
-        let _ = std::mem::take(&mut node.view.borrow_mut().changes.machines);
+        let now = Instant::now();
+        let changed = std::mem::take(&mut node.view.borrow_mut().changes.machines);
+        let sweep = now.saturating_duration_since(swept) >= tick;
+        if sweep {
+            swept = now;
+        }
         // A controller with an old view gives no new orders by itself: what
         // it would launch may have been cancelled.
         if !node.has_state() {
             continue;
         }
-        let now = Instant::now();
-        let ids: Vec<String> = node.hands.borrow().keys().cloned().collect();
+        let ids: Vec<String> = match sweep {
+            true => node.hands.borrow().keys().cloned().collect(),
+            false => changed.into_iter().collect(),
+        };
         for id in ids {
+            if !node.hands.borrow().contains_key(&id) {
+                continue;
+            }
             if !node.holds(&id) {
                 if node.view.borrow().revision >= node.hands.borrow()[&id].claimed_at {
                     tracing::info!(machine = id, "claimed by another controller, or gone");
@@ -746,60 +871,32 @@
             // Safety 3: an unanswered launch may land late. Only a higher
             // token that the worker has shown rules that out.
             hand.unresolved |= launches;
-            if hand.unresolved {
-                drop(hands);
-                if let Some(report) = node.known_report(&id) {
-                    node.ask_claim(&id, &report);
-                }
+            if hand.unresolved
+                && let Some(report) = node.known_report(&id)
+            {
+                node.ask_claim(&id, &report);
             }
         }
     }
-    node.poke.notify_one();
+    drop(hands);
+    node.poke_machine(&id);
 }
 
 impl Node {
-    fn known_report(&self, id: &str) -> Option<Report> {
-        self.fleet.borrow().reports.get(id).cloned()
+    /// Has a machine's orders worked out anew.
+    fn poke_machine(&self, id: &str) {
+        let changes = &mut self.view.borrow_mut().changes;
+        changes.machines.insert(id.to_string());
+        self.poke.notify_one();
     }
-}
 
-/// Records ends: job, team and zone room in one commit, several at a time.
-pub async fn keep_ends(node: Rc<Node>) {
-    loop {
-        let _ = timeout(node.settings.report(), node.ends_wanted.notified()).await;
-        // Alone behind a cut, silence says nothing: the workers have moved.
-        if !node.has_state() {
-            continue;
-        }
-        release_silent(&node);
-        release_gone(&node);
-        if node.ends.borrow().is_empty() {
-            continue;
-        }
-        // Ends come in bunches: a short wait puts them into one commit.
-        sleep(node.request_gap() * 2).await;
-        while !node.ends.borrow().is_empty() {
-            match end_some(&node).await {
-                Ok(0) => break,
-                Ok(_) => {}
-                Err(error) => {
-                    tracing::debug!(%error, "ends not committed");
-                    if matches!(error, StoreError::Conflict(_)) {
-                        let before = node.view.borrow().revision;
-                        node.hurry();
-                        node.wait_revision(before + 1, node.request_gap() * 8).await;
-                    } else if !node.barrier(node.settings.lease() / 4).await {
-                        break;
-                    }
-                    sleep(node.store.jitter(node.request_gap() / 2)).await;
-                }
-            }
-        }
+    fn known_report(&self, id: &str) -> Option<Report> {
+        self.fleet.borrow().reports.get(id).cloned()
     }
 }
 
 /// The bookings on a machine whose lease is surely over are released.
-fn release_silent(node: &Node) {
+pub fn release_silent(node: &Node) {
     let now = Instant::now();
     let mut lost = Vec::new();
     {
@@ -823,7 +920,7 @@
 }
 
 /// The bookings on machines that the cloud has confirmed as gone.
-fn release_gone(node: &Node) {
+pub fn release_gone(node: &Node) {
     let lost: Vec<_> = {
         let view = node.view.borrow();
         view.machines
@@ -853,111 +950,7 @@
     all
 }
 
-async fn end_some(node: &Node) -> Result<usize, StoreError> {
-    let ops = node.settings.deployment.state.txn_ops;
-    let mut jobs: BTreeMap<String, Job> = BTreeMap::new();
-    let mut teams: BTreeMap<String, Room> = BTreeMap::new();
-    let mut zones = BTreeMap::new();
-    let mut machines = BTreeSet::new();
-    let mut used = Vec::new();
-    let mut stale = Vec::new();
-    let mut guards: Vec<Guard> = Vec::new();
-    let mut writes: Vec<Write> = Vec::new();
-    {
-        let view = node.view.borrow();
-        for (key, outcome) in node.ends.borrow().iter() {
-            let machine = view.machines.get(&key.machine);
-            // Safety 3: what proved the end holds only while the machine is
-            // still ours, or once it is gone for good; the guard below makes
-            // the commit depend on it.
-            let ours = machine.is_some_and(|m| {
-                m.value.life == Life::Gone
-                    || (m.value.holder == node.name() && m.value.incarnation == node.incarnation)
-            });
-            let entry = view.jobs.get(&key.job);
-            let booked =
-                entry.is_some_and(|e| e.value.find(&key.machine, key.attempt, key.task).is_some());
-            if !booked || !ours {
-                stale.push(key.clone());
-                continue;
-            }
-            let (Some(entry), Some(machine)) = (entry, machine) else {
-                continue;
-            };
-            let Some(spec) = entry.value.spec.clone() else {
-                stale.push(key.clone());
-                continue;
-            };
-            let zone = machine.value.zone.clone();
-            let in_zone = view.slot(&zone, &key.machine).is_some();
-            let new_ops = usize::from(!jobs.contains_key(&key.job))
-                + usize::from(!teams.contains_key(&spec.team))
-                + usize::from(in_zone && !zones.contains_key(&zone));
-            if jobs.len() + teams.len() + zones.len() + new_ops > ops {
-                continue;
-            }
-            if !machines.contains(&key.machine) && machines.len() >= ops {
-                continue;
-            }
-            let job = jobs
-                .entry(key.job.clone())
-                .or_insert_with(|| entry.value.clone());
-            if !job.release(&key.machine, key.attempt, key.task, *outcome) {
-                continue;
-            }
-            *teams
-                .entry(spec.team.clone())
-                .or_insert_with(|| view.team_used(&spec.team)) -= spec.need;
-            if in_zone {
-                let record = zones.entry(zone.clone()).or_insert_with(|| {
-                    view.zones
-                        .get(&zone)
-                        .map(|e| e.value.clone())
-                        .unwrap_or_default()
-                });
-                if let Some(slot) = record.machines.get_mut(&key.machine) {
-                    slot.free += spec.need;
-                }
-            }
-            machines.insert(key.machine.clone());
-            used.push(key.clone());
-        }
-        for (id, job) in &jobs {
-            guards.push(guard(job_key(id), view.job_version(id)));
-            writes.push(put(job_key(id), job));
-        }
-        for (name, room) in &teams {
-            guards.push(guard(team_key(name), view.team_version(name)));
-            writes.push(put(team_key(name), &crate::model::Team { used: *room }));
-        }
-        for (name, zone) in &zones {
-            guards.push(guard(zone_key(name), view.zone_version(name)));
-            writes.push(put(zone_key(name), zone));
-        }
-        for id in &machines {
-            let version = view.machines.get(id).map_or(0, |e| e.version);
-            guards.push(guard(machine_key(id), version));
-        }
-    }
-    {
-        let mut ends = node.ends.borrow_mut();
-        for key in &stale {
-            ends.remove(key);
-        }
-    }
-    if used.is_empty() {
-        return Ok(0);
-    }
-    node.commit(Class::End, guards, writes).await?;
-    let mut ends = node.ends.borrow_mut();
-    for key in &used {
-        ends.remove(key);
-    }
-    Ok(used.len())
-}
-
-/// Publishes the room of held machines where the zone's record differs, and
-/// drains machines with a notice. On change only, one zone at a time.
+/// Publishes the room of held machines where the parts' records differ.
 pub async fn keep_rooms(node: Rc<Node>) {
     // Starting value of the design: at most every 5 s per record.
     let mut last: HashMap<String, Instant> = HashMap::new();
@@ -967,84 +960,92 @@
         if !node.has_state() {
             continue;
         }
-        let zones = node.settings.deployment.zones.clone();
-        for zone in zones {
-            if last.get(&zone).is_some_and(|t| t.elapsed() < interval) {
-                continue;
-            }
-            let Some((guards, writes)) = room_changes(&node, &zone) else {
-                continue;
-            };
-            last.insert(zone.clone(), Instant::now());
-            if let Err(error) = node.commit(Class::Room, guards, writes).await {
-                tracing::debug!(zone, %error, "room not published");
-            }
+        let now = Instant::now();
+        last.retain(|_, t| now.saturating_duration_since(*t) < interval);
+        let parts = room_changes(&node, &last);
+        if parts.is_empty() {
+            continue;
+        }
+        let mut guards = Vec::new();
+        let mut writes = Vec::new();
+        for (id, version, part) in parts {
+            guards.push(guard(part_key(&id), version));
+            writes.push(put(part_key(&id), &part));
+            last.insert(id, now);
+        }
+        if let Err(error) = node.commit(Class::Room, guards, writes).await {
+            tracing::debug!(%error, "room not published");
         }
     }
 }
 
-fn room_changes(node: &Node, zone: &str) -> Option<(Vec<Guard>, Vec<Write>)> {
+/// Parts of the zones' records that differ from what this controller knows of
+/// the machines that it holds; as many as one commit takes.
+fn room_changes(node: &Node, recent: &HashMap<String, Instant>) -> Vec<(String, u64, Part)> {
     let view = node.view.borrow();
     let hands = node.hands.borrow();
-    let entry = view.zones.get(zone);
-    let mut record = entry.map(|e| e.value.clone()).unwrap_or_default();
-    let mut changed = false;
     let now = Instant::now();
     let quiet = node.settings.lease().mul_f64(0.6);
+    let mut parts: BTreeMap<String, Part> = BTreeMap::new();
     for (id, hand) in hands.iter() {
         let Some(machine) = view.machines.get(id) else {
             continue;
         };
         let m = &machine.value;
-        if m.zone != zone
-            || m.life != Life::Active
-            || m.incarnation != node.incarnation
-            || m.token != hand.token
-        {
+        if m.incarnation != node.incarnation || m.token != hand.token {
             continue;
         }
+        let known = view.slot(id);
         // What has not been heard for most of a lease takes no new work until
-        // it is heard again.
-        if now.saturating_duration_since(hand.heard) > quiet {
-            changed |= record.machines.remove(id).is_some();
+        // it is heard again; nor does what is to leave.
+        let quiet = now.saturating_duration_since(hand.heard) > quiet;
+        let slot = if m.life != Life::Active || quiet {
+            None
+        } else {
+            let (Some(report), Some(kind)) = (&hand.report, view.type_of(&m.kind)) else {
+                continue;
+            };
+            let mut free = Room::of_type(kind) - view.booked_on(id);
+            // Tasks that nobody has booked here take room until they are gone.
+            for t in &report.tasks {
+                if let Some((job, n)) = split_task(&t.task)
+                    && t.stage != TaskStage::Ended
+                    && let Some(e) = view.jobs.get(job)
+                    && e.value.find(id, t.attempt, n).is_none()
+                    && let Some(spec) = &e.value.spec
+                {
+                    free -= spec.need;
+                }
+            }
+            Some(Slot {
+                kind: m.kind.clone(),
+                spot: m.spot,
+                free,
+            })
+        };
+        if known == slot.as_ref() {
             continue;
         }
-        let (Some(report), Some(kind)) = (&hand.report, view.type_of(&m.kind)) else {
+        let part = part_id(&m.zone, &m.part);
+        let most = node.settings.deployment.state.txn_ops;
+        if recent.contains_key(&part) || (parts.len() == most && !parts.contains_key(&part)) {
             continue;
-        };
-        let mut free = Room::of_type(kind) - view.booked_on(id);
-        // Tasks that nobody has booked here take room until they are gone.
-        for t in &report.tasks {
-            if let Some((job, n)) = split_task(&t.task)
-                && t.stage != TaskStage::Ended
-                && let Some(e) = view.jobs.get(job)
-                && e.value.find(id, t.attempt, n).is_none()
-                && let Some(spec) = &e.value.spec
-            {
-                free -= spec.need;
-            }
         }
-        let slot = Slot {
-            kind: m.kind.clone(),
-            spot: m.spot,
-            free,
-        };
-        if record.machines.get(id) != Some(&slot) {
-            record.machines.insert(id.clone(), slot);
-            changed = true;
+        let record = parts.entry(part).or_insert_with_key(|part| {
+            let known = view.parts.get(part).map(|e| e.value.clone());
+            known.unwrap_or_default()
+        });
+        match slot {
+            Some(slot) => {
+                record.machines.insert(id.clone(), slot);
+            }
+            None => {
+                record.machines.remove(id);
+            }
         }
     }
-    // Slots of machines that take no work any more.
-    let before = record.machines.len();
-    record.machines.retain(|id, _| {
-        view.machines
-            .get(id)
-            .is_some_and(|m| m.value.life == Life::Active)
-    });
-    changed |= record.machines.len() != before;
-    if !changed {
-        return None;
-    }
-    let guards = vec![guard(zone_key(zone), view.zone_version(zone))];
-    Some((guards, vec![put(zone_key(zone), &record)]))
+    parts
+        .into_iter()
+        .map(|(id, part)| (id.clone(), view.part_version(&id), part))
+        .collect()
 }
--- a/src/model.rs
+++ b/src/model.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::ops::{Add, AddAssign, Sub, SubAssign};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::wire::{Kind, MachineType, Priority, Submission};
 
@@ -32,7 +32,7 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Room {
     #[serde(rename = "c")]
     pub cpus: Amount,
@@ -110,11 +110,42 @@
     }
 }
 
-/// A set of task numbers as sorted, disjoint, closed ranges.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
+/// A set of task numbers as sorted, disjoint, closed ranges. Written as text,
+/// `0-4,7`: a job of thousands of tasks has to fit into one record.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Ranges(pub Vec<(u32, u32)>);
 
+impl Serialize for Ranges {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        use std::fmt::Write;
+        let mut text = String::with_capacity(self.0.len() * 8);
+        for (a, b) in &self.0 {
+            let comma = if text.is_empty() { "" } else { "," };
+            let _ = if a == b {
+                write!(text, "{comma}{a}")
+            } else {
+                write!(text, "{comma}{a}-{b}")
+            };
+        }
+        serializer.serialize_str(&text)
+    }
+}
+
+impl<'de> Deserialize<'de> for Ranges {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = std::borrow::Cow::<str>::deserialize(deserializer)?;
+        let mut ranges = Vec::new();
+        for part in text.split(',').filter(|p| !p.is_empty()) {
+            let (a, b) = part.split_once('-').unwrap_or((part, part));
+            match (a.parse(), b.parse()) {
+                (Ok(a), Ok(b)) if a <= b => ranges.push((a, b)),
+                _ => return Err(serde::de::Error::custom("not a set of numbers")),
+            }
+        }
+        Ok(Ranges(ranges))
+    }
+}
+
 impl Ranges {
     pub fn one(n: u32) -> Self {
         Ranges(vec![(n, n)])
@@ -410,15 +441,12 @@
         });
     }
 
-    pub fn take_waiting(&mut self) -> Option<u32> {
-        if let Some(n) = self.retry.pop_first() {
-            return Some(n);
-        }
-        if self.next < self.tasks {
+    /// The next task that was never started.
+    pub fn take_fresh(&mut self) -> Option<u32> {
+        (self.next < self.tasks).then(|| {
             self.next += 1;
-            return Some(self.next - 1);
-        }
-        None
+            self.next - 1
+        })
     }
 
     /// Releases a booking whose task is surely gone. False when there was none.
@@ -461,8 +489,20 @@
     }
 
     /// Marks tasks on a machine as wanted gone: all of a gang's everywhere, as
-    /// it saves only when all are told; else `count`, the latest first.
-    pub fn stop_tasks(&mut self, machine: &str, count: usize) {
+    /// it saves only when all are told; else `count`, the latest first, or all
+    /// there when the record has no room for a run that is split.
+    pub fn stop_tasks(&mut self, machine: &str, count: usize, value_bytes: usize) {
+        let before = self.clone();
+        self.split_stops(machine, count);
+        if serde_json::to_vec(self).is_ok_and(|v| v.len() > value_bytes) {
+            *self = before;
+            for run in self.runs.iter_mut().filter(|r| r.machine == machine) {
+                run.stop = true;
+            }
+        }
+    }
+
+    fn split_stops(&mut self, machine: &str, count: usize) {
         if self.spec.as_ref().is_some_and(Spec::is_gang) {
             for run in &mut self.runs {
                 run.stop = true;
@@ -470,7 +510,7 @@
             return;
         }
         let mut left = count;
-        let mut split = Vec::new();
+        let mut split: Vec<Run> = Vec::new();
         for run in self.runs.iter_mut().rev() {
             if run.machine != machine || run.stop || left == 0 {
                 continue;
@@ -495,7 +535,17 @@
             }
             split.push(part);
         }
-        self.runs.extend(split);
+        // What is stopped in steps stays one run, or the record would grow.
+        for part in split {
+            let known = self
+                .runs
+                .iter_mut()
+                .find(|r| r.stop && r.machine == part.machine && r.attempt == part.attempt);
+            match known {
+                Some(run) => part.tasks.iter().for_each(|n| run.tasks.insert(n)),
+                None => self.runs.push(part),
+            }
+        }
     }
 
     /// Drops what a finished job no longer needs.
@@ -514,6 +564,16 @@
     }
 }
 
+/// `new/ID`: jobs that were accepted together, in one write. Each stands for
+/// its own record until that is first written; from then on that one counts.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Arrivals {
+    #[serde(rename = "b")]
+    pub born: u64,
+    #[serde(rename = "j")]
+    pub jobs: BTreeMap<String, Spec>,
+}
+
 /// How a task's time on a machine came to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -541,13 +601,21 @@
     pub free: Room,
 }
 
-/// `zone/Z`: free room per machine that takes work.
+/// `zone/Z/PART`: free room per machine that takes work. One record a zone
+/// would outgrow `value_kb` at some hundred machines, and be written by all
+/// controllers at once; a machine stays in its part.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Zone {
+pub struct Part {
     #[serde(rename = "m", default)]
     pub machines: BTreeMap<String, Slot>,
 }
 
+/// The most that a machine's slot can take of its part's record: its names,
+/// quotes and marks, and three amounts of up to nine digits.
+pub fn slot_bytes(machine: &str, kind: &str) -> usize {
+    machine.len() + kind.len() + 80
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Life {
     /// Rented, not yet heard from.
@@ -585,9 +653,13 @@
     pub zone: String,
     #[serde(rename = "l", default, skip_serializing_if = "is_false")]
     pub spot: bool,
+    /// The part of its zone's record that it belongs to, from its first claim
+    /// on: the name of its home controller and a number.
+    #[serde(rename = "p", default, skip_serializing_if = "String::is_empty")]
+    pub part: String,
 }
 
-/// `hire/ID`: a rental that is or may be under way.
+/// `hire/ID`: a rental that is or may be under way, or whose machines are.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Hire {
     #[serde(rename = "t")]
@@ -598,6 +670,10 @@
     pub spot: bool,
     #[serde(rename = "n")]
     pub count: u32,
+    /// What the cloud has answered; empty until then. One write records all
+    /// machines of a rental: they boot until their workers are claimed.
+    #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+    pub machines: Vec<String>,
 }
 
 /// `types`: the cloud's machine types as last read.
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,7 +2,7 @@
 //! and the horizon.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::admission::Ages;
+use crate::api::Arrival;
 use crate::fleet::FleetState;
 use crate::http::Client;
 use crate::machines::{EndKey, Hand};
@@ -50,6 +51,9 @@
     pub hands: RefCell<HashMap<String, Hand>>,
     pub ends: RefCell<BTreeMap<EndKey, Outcome>>,
     pub ends_wanted: Notify,
+    /// Submissions that wait to be accepted.
+    pub arrivals: RefCell<VecDeque<Arrival>>,
+    pub arrivals_wanted: Notify,
     pub claims: RefCell<BTreeMap<String, watch::Sender<bool>>>,
     pub claims_wanted: Notify,
     pub peers: RefCell<Peers>,
@@ -103,6 +107,8 @@
             hands: RefCell::default(),
             ends: RefCell::default(),
             ends_wanted: Notify::new(),
+            arrivals: RefCell::default(),
+            arrivals_wanted: Notify::new(),
             claims: RefCell::default(),
             claims_wanted: Notify::new(),
             peers: RefCell::default(),
@@ -307,12 +313,13 @@
             tokio::task::spawn_local(crate::mesh::listen(self.clone(), mesh)),
             tokio::task::spawn_local(crate::mesh::speak(self.clone())),
             tokio::task::spawn_local(crate::machines::keep_claims(self.clone())),
-            tokio::task::spawn_local(crate::machines::keep_ends(self.clone())),
             tokio::task::spawn_local(crate::machines::keep_orders(self.clone())),
             tokio::task::spawn_local(crate::machines::keep_rooms(self.clone())),
             tokio::task::spawn_local(crate::placement::keep_placing(self.clone())),
             tokio::task::spawn_local(crate::fleet::keep_types(self.clone())),
+            tokio::task::spawn_local(crate::fleet::keep_leases(self.clone())),
             tokio::task::spawn_local(crate::fleet::keep_fleet(self.clone())),
+            tokio::task::spawn_local(crate::api::keep_accepting(self.clone())),
         ];
         tracing::info!(node = self.name(), on = %self.settings.serve_on, "started");
         let _abort = AbortAll(tasks.iter().map(|t| t.abort_handle()).collect());
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -8,13 +8,15 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
-use crate::admission::{self, Care, Hints, Plan, Victim, Wait};
-use crate::model::{Job, Room, Spec, Team};
-use crate::node::{Node, guard, put};
+use crate::admission::{self, Care, Hints, Place, Plan, Victim, Wait};
+use crate::draft::{Draft, Released};
+use crate::machines::{self, EndKey};
+use crate::model::{Job, Spec};
+use crate::node::Node;
 use crate::store::{Class, StoreError};
-use crate::view::{View, job_key, team_key, zone_key};
+use crate::view::View;
 use crate::wire::{Guard, Kind, Write};
 
 /// A job's reason to wait, as the last round that looked at it found.
@@ -53,29 +55,53 @@
     preempted: HashMap<String, Instant>,
     /// When the whole queue was last gone through.
     noted: Option<Instant>,
+    /// The first end that found no room in the last commit.
+    last_end: Option<EndKey>,
+    /// How many records the last commit wrote.
+    wrote: usize,
 }
 
+/// Rounds of decisions: what has ended is recorded and what waits is placed,
+/// in one commit a round. A round waits for the budget first and decides then,
+/// on what has gathered: its commits widen with the load.
 pub async fn keep_placing(node: Rc<Node>) {
     let mut rounds = Rounds::default();
     let idle = node.settings.report() / 3;
     let least = node.request_gap();
     loop {
-        let _ = timeout(idle, node.stir.notified()).await;
+        tokio::select! {
+            () = node.stir.notified() => {}
+            () = node.ends_wanted.notified() => {}
+            () = sleep(idle) => {}
+        }
+        // Alone behind a cut, silence says nothing: the workers have moved.
         if !node.view.borrow().loaded || !node.has_state() {
             continue;
         }
+        machines::release_silent(&node);
+        machines::release_gone(&node);
         let begun = Instant::now();
         // As many commits as it takes; each waits for its answer.
-        while let Some(batch) = choose(&node, &mut rounds) {
-            let booked = batch.jobs.len();
-            match node.commit(Class::Admit, batch.guards, batch.writes).await {
+        loop {
+            let wanted = (rounds.wrote / 2).max(1);
+            node.store.ready(Class::Round, wanted).await;
+            let Some(batch) = round(&node, &mut rounds) else {
+                break;
+            };
+            rounds.wrote = batch.writes.len();
+            let ends = batch.ends;
+            match node.commit(Class::Round, batch.guards, batch.writes).await {
                 Ok(_) => {
-                    tracing::debug!(jobs = booked, "admitted");
+                    tracing::debug!(jobs = batch.jobs, ends = ends.len(), "decided");
+                    let mut all = node.ends.borrow_mut();
+                    for key in &ends {
+                        all.remove(key);
+                    }
                 }
                 Err(StoreError::Conflict(keys)) => {
                     // What has changed is on its way: take it in, and decide
                     // again on that.
-                    tracing::debug!(?keys, "admission conflict");
+                    tracing::debug!(?keys, "conflict");
                     let before = node.view.borrow().revision;
                     node.hurry();
                     node.wait_revision(before + 1, node.request_gap() * 8).await;
@@ -83,7 +109,7 @@
                 }
                 Err(error) => {
                     // It may have happened: the view tells after a barrier.
-                    tracing::debug!(%error, "admission not answered");
+                    tracing::debug!(%error, "decisions not answered");
                     if !node.barrier(node.settings.lease() / 4).await {
                         break;
                     }
@@ -96,7 +122,9 @@
 }
 
 struct Batch {
-    jobs: Vec<String>,
+    /// How many jobs it admits.
+    jobs: usize,
+    ends: Vec<EndKey>,
     guards: Vec<Guard>,
     writes: Vec<Write>,
 }
@@ -161,8 +189,45 @@
     }
 }
 
-/// Puts together one commit: as many jobs as it can hold, in queue order.
-fn choose(node: &Node, rounds: &mut Rounds) -> Option<Batch> {
+/// Lays recorded ends into the draft, and their room into the plan. Begins
+/// where the last round ended, so that none waits for ever in a flood.
+fn take_ends(node: &Node, rounds: &mut Rounds, draft: &mut Draft, plan: &mut Plan) -> Vec<EndKey> {
+    let view = node.view.borrow();
+    let mut taken = Vec::new();
+    let mut stale = Vec::new();
+    let ends = node.ends.borrow();
+    let first = rounds.last_end.take();
+    let (later, earlier): (Vec<_>, Vec<_>) = ends
+        .iter()
+        .partition(|(key, _)| first.as_ref().is_none_or(|f| *key >= f));
+    for (key, outcome) in later.into_iter().chain(earlier) {
+        match draft.release(key, *outcome, node.name(), node.incarnation) {
+            Released::Yes => {
+                if let Some(spec) = view.jobs.get(&key.job).and_then(|e| e.value.spec.as_ref()) {
+                    plan.give(&view, &key.machine, &spec.team, spec.need);
+                }
+                taken.push(key.clone());
+            }
+            Released::Full if rounds.last_end.is_none() => rounds.last_end = Some(key.clone()),
+            Released::Full => {}
+            Released::Stale => stale.push(key.clone()),
+        }
+    }
+    drop(ends);
+    let mut ends = node.ends.borrow_mut();
+    for key in stale {
+        ends.remove(&key);
+    }
+    taken
+}
+
+/// How many searches for work to stop one round makes: each goes through all
+/// running work, and beats and acceptance wait meanwhile.
+const SEARCHES: usize = 4;
+
+/// Puts together one commit: the ends that are known, then as many jobs as it
+/// can hold, in queue order.
+fn round(node: &Node, rounds: &mut Rounds) -> Option<Batch> {
     let now = Instant::now();
     let view = node.view.borrow();
     let ids = mine(node, rounds, &view, now);
@@ -171,158 +236,210 @@
     let notes_due = rounds
         .noted
         .is_none_or(|t| now.saturating_duration_since(t) > node.settings.report());
-    if ids.is_empty() && !notes_due {
+    if ids.is_empty() && !notes_due && node.ends.borrow().is_empty() {
         return None;
     }
     rounds.noted = Some(now);
+    let settings = &node.settings;
+    let ops = settings.deployment.state.txn_ops;
+    let mut plan = Plan::of(&view);
+    // Ends leave some of the commit to what waits for their room.
+    let mut draft = Draft::new(&view, if ids.is_empty() { ops } else { ops * 3 / 4 });
+    let ends = take_ends(node, rounds, &mut draft, &mut plan);
+    draft.most = ops;
     node.reasons
         .borrow_mut()
         .retain(|id, _| view.jobs.get(id).is_some_and(|e| e.value.waiting() > 0));
     let mine: BTreeSet<&str> = ids.iter().map(String::as_str).collect();
-    let settings = &node.settings;
-    let ops = settings.deployment.state.txn_ops;
-    let mut plan = Plan::of(&view);
-    // What this round books itself, for the records.
-    let mut booked = plan.clone();
-    let mut jobs: BTreeMap<String, Job> = BTreeMap::new();
-    let mut teams = BTreeSet::new();
-    let mut zones = BTreeSet::new();
     let mut blocked = Vec::new();
+    let mut search = Search::default();
+    let mut admitted = 0;
+    let alive: Vec<String> = {
+        let peers = node.peers.borrow();
+        let alive = peers.alive(node, now);
+        alive.into_iter().map(str::to_string).collect()
+    };
     // All that wait stand in one queue, whoever places them: what goes first
     // elsewhere keeps its room here, too.
-    for id in admission::queue(&view, &plan, settings, &node.ages.borrow(), now) {
+    let queue = admission::queue(&view, &plan, settings, &node.ages.borrow(), now);
+    for id in queue {
         if rounds.held.get(id).is_some_and(|h| h.1 > now) {
             continue;
         }
-        let Some(entry) = view.jobs.get(id) else {
+        let Some(job) = draft.job(id).filter(|j| j.waiting() > 0) else {
             continue;
         };
-        let Some(spec) = &entry.value.spec else {
+        let Some(spec) = job.spec.clone() else {
             continue;
         };
-        let places = match place(node, &view, &plan, id, &entry.value, spec) {
+        let own = mine.contains(id);
+        let home = match own {
+            true => node.name(),
+            false => preferred(id, alive.iter().map(String::as_str)).unwrap_or(""),
+        };
+        let hints = Hints { view: &view, home };
+        let places = match search.place(node, &hints, &plan, id, job, &spec) {
             Ok(places) => places,
             Err(why) => {
                 note(node, id, why, now);
-                if !mine.contains(id) {
-                    continue;
+                let no_room = matches!(why, Wait::NoRoom | Wait::NoZone | Wait::Spread);
+                if no_room && admission::starves(job, &spec, settings, age_of(node, id, now)) {
+                    search.hold(&hints, &mut plan, &spec);
                 }
-                if matches!(why, Wait::NoRoom | Wait::NoZone | Wait::Spread) {
+                if own && no_room {
                     blocked.push(id.to_string());
                 }
                 continue;
             }
         };
-        if !mine.contains(id) {
-            for p in &places {
-                plan.take(&p.zone, &p.machine, &spec.team, spec.need);
+        if own {
+            if !draft.book(id, &spec, &places) {
+                // It goes into the next commit; its room is kept.
+                note(node, id, Wait::Queue, now);
+            } else {
+                admitted += 1;
+                tracing::debug!(
+                    job = id,
+                    class = spec.class,
+                    tasks = places.len(),
+                    machine = &*places[0].machine,
+                    kind = view.classes[plan.spots[places[0].at].class as usize].kind,
+                    "places"
+                );
+                if draft.job(id).is_none_or(|j| j.waiting() == 0) {
+                    node.reasons.borrow_mut().remove(id);
+                } else {
+                    blocked.push(id.to_string());
+                    note(node, id, Wait::NoRoom, now);
+                }
             }
-            continue;
         }
-        let new_zones = places
-            .iter()
-            .map(|p| &p.zone)
-            .filter(|z| !zones.contains(*z))
-            .collect::<BTreeSet<_>>()
-            .len();
-        let new_ops = 1 + usize::from(!teams.contains(&spec.team)) + new_zones;
-        if jobs.len() + teams.len() + zones.len() + new_ops > ops {
-            note(node, id, Wait::Queue, now);
-            continue;
-        }
-        let mut job = entry.value.clone();
-        book(&mut job, spec, &places);
-        tracing::debug!(
-            job = id,
-            class = spec.class,
-            tasks = places.len(),
-            machine = places[0].machine,
-            kind = kind_of(&view, &places[0]),
-            "places"
-        );
         for place in &places {
-            plan.take(&place.zone, &place.machine, &spec.team, spec.need);
-            booked.take(&place.zone, &place.machine, &spec.team, spec.need);
-            zones.insert(place.zone.clone());
-        }
-        teams.insert(spec.team.clone());
-        if job.waiting() == 0 {
-            node.reasons.borrow_mut().remove(id);
-        } else {
-            blocked.push(id.to_string());
-            note(node, id, Wait::NoRoom, now);
+            plan.take(place, &spec.team, spec.need);
         }
-        jobs.insert(id.to_string(), job);
     }
-    if jobs.is_empty() {
-        return preempt(node, rounds, &view, &plan, &blocked, now);
+    if admitted == 0 {
+        preempt(node, rounds, &mut draft, &mut search, &plan, &blocked, now);
     }
-    let mut guards = Vec::new();
-    let mut writes = Vec::new();
-    for (id, job) in &jobs {
-        guards.push(guard(job_key(id), view.job_version(id)));
-        writes.push(put(job_key(id), job));
-    }
-    for name in &teams {
-        guards.push(guard(team_key(name), view.team_version(name)));
-        let used = booked.used(name);
-        writes.push(put(team_key(name), &Team { used }));
-    }
-    for name in &zones {
-        guards.push(guard(zone_key(name), view.zone_version(name)));
-        writes.push(put(zone_key(name), &booked.zones[name]));
+    if draft.is_empty() {
+        return None;
     }
+    let (guards, writes) = draft.into_commit();
     Some(Batch {
-        jobs: jobs.into_keys().collect(),
+        jobs: admitted,
+        ends,
         guards,
         writes,
     })
 }
 
-fn kind_of<'a>(view: &'a View, place: &admission::Place) -> &'a str {
-    view.slot(&place.zone, &place.machine)
-        .map_or("?", |s| s.kind.as_str())
+fn age_of(node: &Node, id: &str, now: Instant) -> f64 {
+    let ages = node.ages.borrow();
+    let known = ages.get(id);
+    known.map_or(0.0, |t| now.saturating_duration_since(*t).as_secs_f64())
 }
 
-/// Places a job. A service or gang that would stand in the way of work that
-/// needs accelerators rather has lower work stopped elsewhere, if it may.
-fn place(
-    node: &Node,
-    view: &View,
-    plan: &Plan,
-    id: &str,
-    job: &Job,
-    spec: &Spec,
-) -> Result<Vec<admission::Place>, Wait> {
-    let hints = Hints { view };
-    let settings = &node.settings;
-    let strict = admission::fit(job, spec, plan, &hints, settings, Care::Strict);
-    if strict.is_err() && spec.kind == Kind::Service && !job.retry.is_empty() {
-        // A replica that is down is replaced at once where it is not in the
-        // way, even if that keeps a costly machine rented.
-        let mild = admission::fit(job, spec, plan, &hints, settings, Care::Mild);
-        if mild.is_ok() {
-            return mild;
+/// What one round has found out already, so that it is not searched again.
+#[derive(Default)]
+struct Search {
+    /// Shapes that found no room, and the fewest tasks that did not.
+    failed: HashMap<u64, (usize, Wait)>,
+    /// The plan with the room that is being cleared, once it was asked for.
+    coming: Option<Plan>,
+    searches: usize,
+    held: bool,
+}
+
+/// What decides where a job fits, but for its team and its tasks elsewhere.
+/// `None` when those matter.
+fn shape(job: &Job, spec: &Spec) -> Option<u64> {
+    if !spec.is_gang() && (spec.one_zone || spec.spread) {
+        return None;
+    }
+    let mut h = DefaultHasher::new();
+    (spec.kind, spec.need, spec.one_zone, spec.spot).hash(&mut h);
+    (&spec.types, &spec.zone, job.retry.is_empty()).hash(&mut h);
+    Some(h.finish())
+}
+
+impl Search {
+    fn coming(&mut self, view: &View, plan: &Plan) -> &mut Plan {
+        self.coming.get_or_insert_with(|| with_stops(view, plan))
+    }
+
+    /// Places a job. A service or gang that would stand in the way of work
+    /// that needs accelerators rather has lower work stopped elsewhere, if it
+    /// may.
+    fn place(
+        &mut self,
+        node: &Node,
+        hints: &Hints,
+        plan: &Plan,
+        id: &str,
+        job: &Job,
+        spec: &Spec,
+    ) -> Result<Vec<Place>, Wait> {
+        let tasks = if spec.is_gang() { job.waiting() } else { 1 };
+        let shape = shape(job, spec);
+        if let Some((least, why)) = shape.and_then(|s| self.failed.get(&s))
+            && tasks >= *least
+        {
+            return Err(*why);
+        }
+        let found = self.place_anew(node, hints, plan, id, job, spec);
+        if let (Some(shape), Err(why @ (Wait::NoRoom | Wait::NoZone))) = (shape, &found) {
+            self.failed.insert(shape, (tasks, *why));
         }
+        found
     }
-    if strict.is_ok() || spec.kind == Kind::Array || spec.need.gpus.0 > 0 {
-        return strict;
+
+    fn place_anew(
+        &mut self,
+        node: &Node,
+        hints: &Hints,
+        plan: &Plan,
+        id: &str,
+        job: &Job,
+        spec: &Spec,
+    ) -> Result<Vec<Place>, Wait> {
+        let settings = &node.settings;
+        let strict = admission::fit(job, spec, plan, hints, settings, Care::Strict);
+        if strict.is_ok() || spec.kind == Kind::Array || spec.need.gpus.0 > 0 {
+            return strict;
+        }
+        if spec.kind == Kind::Service && !job.retry.is_empty() {
+            // A replica that is down is replaced at once where it is not in
+            // the way, even if that keeps a costly machine rented.
+            let mild = admission::fit(job, spec, plan, hints, settings, Care::Mild);
+            if mild.is_ok() {
+                return mild;
+            }
+        }
+        let lax = admission::fit(job, spec, plan, hints, settings, Care::Lax);
+        let coming = self.coming(hints.view, plan).clone();
+        if admission::fits(job, spec, &coming, hints, settings, Care::Strict) {
+            return strict;
+        }
+        if self.searches >= SEARCHES {
+            return lax;
+        }
+        self.searches += 1;
+        let none = BTreeMap::new();
+        match find_victims(node, hints, &none, &coming, id, job, spec, Care::Strict) {
+            Some(_) => strict,
+            None => lax,
+        }
+    }
+
+    /// Keeps the room that the first large gang in line waits for from what
+    /// comes behind it: in the zone that has the most of it.
+    fn hold(&mut self, hints: &Hints, plan: &mut Plan, spec: &Spec) {
+        if !spec.is_gang() || self.held {
+            return;
+        }
+        self.held = true;
+        admission::hold_room(spec, plan, hints);
     }
-    let lax = admission::fit(job, spec, plan, &hints, settings, Care::Lax);
-    let coming = with_stops(view, plan);
-    let clears = admission::fit(job, spec, &coming, &hints, settings, Care::Strict).is_ok()
-        || find_victims(
-            node,
-            view,
-            &BTreeMap::new(),
-            &coming,
-            id,
-            job,
-            spec,
-            Care::Strict,
-        )
-        .is_some();
-    if clears { strict } else { lax }
 }
 
 /// The plan with the room that is being cleared counted as free.
@@ -335,52 +452,43 @@
         let Some(spec) = &job.spec else { continue };
         for run in job.runs.iter().filter(|r| r.stop) {
             let room = spec.need.times(run.tasks.len());
-            clear(&mut coming, &run.zone, &run.machine, &spec.team, room);
+            coming.give(view, &run.machine, &spec.team, room);
         }
     }
     coming
 }
 
-/// Books the places for the job's next waiting tasks under a new attempt.
-pub fn book(job: &mut Job, spec: &Spec, places: &[admission::Place]) {
-    job.attempt += 1;
-    job.cleared = false;
-    let attempt = job.attempt;
-    for (i, place) in places.iter().enumerate() {
-        let task = if spec.is_gang() {
-            Some(i as u32)
-        } else {
-            job.take_waiting()
-        };
-        if let Some(task) = task {
-            job.book(&place.machine, &place.zone, attempt, task);
-        }
-    }
-}
-
 /// Stops work for blocked jobs that may have it stopped, as many as one
 /// commit holds; again for the same job only once the effect has had time to
 /// show.
 fn preempt(
     node: &Node,
     rounds: &mut Rounds,
-    view: &View,
+    draft: &mut Draft,
+    search: &mut Search,
     plan: &Plan,
     blocked: &[String],
     now: Instant,
-) -> Option<Batch> {
+) {
     let settings = &node.settings;
-    let ops = settings.deployment.state.txn_ops;
+    let view = node.view.borrow();
     let patience = Duration::from_secs_f64(settings.deployment.workers.gang_peer_s) * 2;
     rounds
         .preempted
         .retain(|_, at| now.saturating_duration_since(*at) < patience);
+    if blocked.is_empty() {
+        return;
+    }
     // The room that is being cleared already counts as coming, once for each
     // job that it will serve.
-    let mut coming = with_stops(view, plan);
-    let hints = Hints { view };
+    let mut coming = search.coming(&view, plan).clone();
+    let home = node.name();
+    let hints = Hints { view: &view, home };
     let mut changed: BTreeMap<String, Job> = BTreeMap::new();
     for id in blocked {
+        if search.searches >= SEARCHES * 2 {
+            break;
+        }
         let Some(job) = view.jobs.get(id).map(|e| &e.value) else {
             continue;
         };
@@ -388,27 +496,23 @@
         let take = |coming: &mut Plan, care| {
             let places = admission::fit(job, spec, coming, &hints, settings, care);
             for p in places.iter().flatten() {
-                coming.take(&p.zone, &p.machine, &spec.team, spec.need);
+                coming.take(p, &spec.team, spec.need);
             }
             places.is_ok()
         };
         if take(&mut coming, Care::Strict) || rounds.preempted.contains_key(id) {
             continue;
         }
+        search.searches += 1;
         let found = [Care::Strict, Care::Lax].into_iter().find_map(|care| {
-            let victims = find_victims(node, view, &changed, &coming, id, job, spec, care)?;
+            let victims = find_victims(node, &hints, &changed, &coming, id, job, spec, care)?;
             Some((victims, care))
         });
         let Some((victims, care)) = found else {
             continue;
         };
-        let new: BTreeSet<&str> = victims
-            .iter()
-            .map(|v| v.job.as_str())
-            .chain([id.as_str()])
-            .filter(|j| !changed.contains_key(*j))
-            .collect();
-        if changed.len() + new.len() > ops {
+        let touched = victims.iter().map(|v| v.job.as_str());
+        if !draft.fits_jobs(touched.chain([id.as_str()])) {
             break;
         }
         rounds.preempted.insert(id.clone(), now);
@@ -420,51 +524,20 @@
                 for_job = id,
                 "preempted"
             );
-            let Some(entry) = view.jobs.get(&victim.job) else {
-                continue;
-            };
-            let stopped = changed
-                .entry(victim.job.clone())
-                .or_insert_with(|| entry.value.clone());
-            if let Some(s) = &stopped.spec {
-                let room = s.need.times(victim.tasks);
-                clear(&mut coming, &victim.zone, &victim.machine, &s.team, room);
+            draft.change(&victim.job, |stopped| {
+                if let Some(s) = &stopped.spec {
+                    let room = s.need.times(victim.tasks);
+                    coming.give(&view, &victim.machine, &s.team, room);
+                }
+                stopped.stop_tasks(&victim.machine, victim.tasks, settings.value_bytes());
+            });
+            if let Some(stopped) = draft.job(&victim.job) {
+                changed.insert(victim.job.clone(), stopped.clone());
             }
-            stopped.stop_tasks(&victim.machine, victim.tasks);
         }
-        changed
-            .entry(id.clone())
-            .or_insert_with(|| job.clone())
-            .cleared = true;
+        draft.change(id, |job| job.cleared = true);
         take(&mut coming, care);
     }
-    if changed.is_empty() {
-        return None;
-    }
-    let mut guards = Vec::new();
-    let mut writes = Vec::new();
-    for (id, job) in &changed {
-        guards.push(guard(job_key(id), view.job_version(id)));
-        writes.push(put(job_key(id), job));
-    }
-    Some(Batch {
-        jobs: vec![],
-        guards,
-        writes,
-    })
-}
-
-fn clear(plan: &mut Plan, zone: &str, machine: &str, team: &str, room: Room) {
-    if let Some(slot) = plan
-        .zones
-        .get_mut(zone)
-        .and_then(|z| z.machines.get_mut(machine))
-    {
-        slot.free += room;
-    }
-    if let Some(used) = plan.teams.get_mut(team) {
-        *used -= room;
-    }
 }
 
 /// One of a few classes that a controller puts a job into.
@@ -479,7 +552,7 @@
 #[allow(clippy::too_many_arguments)]
 fn find_victims(
     node: &Node,
-    view: &View,
+    hints: &Hints,
     changed: &BTreeMap<String, Job>,
     coming: &Plan,
     id: &str,
@@ -488,6 +561,7 @@
     care: Care,
 ) -> Option<Vec<Victim>> {
     let settings = &node.settings;
+    let view = hints.view;
     let terms = settings.team(&spec.team)?;
     // Independent tasks that give way to independent tasks lose more than
     // they gain: such work ends soon and makes room by itself. They stop
@@ -525,9 +599,13 @@
             continue;
         }
         for run in entry.runs.iter().filter(|r| !r.stop) {
-            let slot = view.slot(&run.zone, &run.machine);
-            if slot.is_some_and(|s| spec.allows(&s.kind, &run.zone, s.spot)) {
-                let no_image = !view.has_image(&run.machine, &spec.image);
+            let Some(at) = coming.find(view, &run.machine) else {
+                continue;
+            };
+            let spot = &coming.spots[at];
+            let class = &view.classes[spot.class as usize];
+            if spec.allows(&class.kind, &class.zone, class.spot) {
+                let no_image = !view.has_image(spot.machine, view.image(&spec.image));
                 let order = (
                     victim.priority,
                     no_image,
@@ -536,15 +614,15 @@
                     share_of(node.name(), other),
                     std::cmp::Reverse(entry.born),
                 );
-                candidates.push((order, other, run, victim));
+                candidates.push((order, at, other, run, victim));
             }
         }
     }
     candidates.sort_by_key(|c| c.0);
-    let hints = Hints { view };
     let mut after = coming.clone();
     let mut victims: Vec<Victim> = Vec::new();
-    for (_, other, run, victim) in candidates {
+    let mut looks = 0;
+    for (_, at, other, run, victim) in candidates {
         let whole = victim.is_gang();
         let mut left = run.tasks.len();
         while left > 0 {
@@ -554,25 +632,26 @@
             }
             let n = if whole { left } else { 1 };
             left -= n;
-            clear(
-                &mut after,
-                &run.zone,
-                &run.machine,
-                &victim.team,
-                victim.need.times(n),
-            );
+            after.give(view, &run.machine, &victim.team, victim.need.times(n));
             match victims.last_mut() {
                 Some(v) if v.job == *other && v.machine == run.machine => v.tasks += n,
                 _ => victims.push(Victim {
                     job: other.clone(),
                     machine: run.machine.clone(),
-                    zone: run.zone.clone(),
                     tasks: n,
                 }),
             }
-            if let Ok(places) = admission::fit(job, spec, &after, &hints, settings, care) {
+            // Only a machine that now holds a task can have made it fit.
+            if !after.spots[at].free.fits(&spec.need) {
+                continue;
+            }
+            looks += 1;
+            if looks > LOOKS {
+                return None;
+            }
+            if let Ok(places) = admission::fit(job, spec, &after, hints, settings, care) {
                 // Only what was cleared where the job will be is needed.
-                let used: BTreeSet<&str> = places.iter().map(|p| p.machine.as_str()).collect();
+                let used: BTreeSet<&str> = places.iter().map(|p| &*p.machine).collect();
                 victims.retain(|v| used.contains(v.machine.as_str()));
                 return Some(victims);
             }
@@ -580,3 +659,6 @@
     }
     None
 }
+
+/// How often one search for work to stop tries whether the job fits now.
+const LOOKS: usize = 200;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -347,6 +347,12 @@
         Duration::from_secs_f64(w.cancel_s - w.lease_s).saturating_sub(self.margin())
     }
 
+    /// A job that has not begun after this long goes first in the queue: three
+    /// times what the platform lets a gang's tasks wait for one another.
+    pub fn starving_s(&self) -> f64 {
+        self.deployment.workers.gang_wait_s * 3.0
+    }
+
     pub fn lease(&self) -> Duration {
         Duration::from_secs_f64(self.deployment.workers.lease_s)
     }
--- a/src/store.rs
+++ b/src/store.rs
@@ -20,8 +20,9 @@
     Accept,
     Lease,
     Claim,
-    End,
-    Admit,
+    /// Rounds of decisions. They wait with `Store::ready` before they decide,
+    /// then go at once, into debt if need be: what waits goes stale.
+    Round,
     Room,
 }
 
@@ -31,8 +32,7 @@
         match self {
             Class::Accept | Class::Lease => 0.0,
             Class::Claim => 0.05,
-            Class::End => 0.1,
-            Class::Admit => 0.15,
+            Class::Round => 0.1,
             Class::Room => 0.3,
         }
     }
@@ -84,26 +84,39 @@
         }
     }
 
-    /// Takes one request with `writes` written keys, or says how long to wait.
-    pub fn take(&mut self, class: Class, writes: usize, now: Instant) -> Result<(), Duration> {
+    /// How long until a request with `writes` written keys may go.
+    pub fn wait(&mut self, class: Class, writes: usize, now: Instant) -> Option<Duration> {
         self.requests.refill(now);
         self.writes.refill(now);
         let reserve = class.reserve();
         let wait = self.requests.wait(1.0, reserve);
-        let wait = if writes > 0 {
-            wait.max(self.writes.wait(writes as f64, reserve))
-        } else {
-            wait
-        };
-        match wait {
+        if writes == 0 {
+            return wait;
+        }
+        wait.max(self.writes.wait(writes as f64, reserve))
+    }
+
+    /// Takes one request with `writes` written keys, or says how long to wait.
+    pub fn take(&mut self, class: Class, writes: usize, now: Instant) -> Result<(), Duration> {
+        match self.wait(class, writes, now) {
             Some(w) => Err(w),
             None => {
-                self.requests.level -= 1.0;
-                self.writes.level -= writes as f64;
+                self.force(writes);
                 Ok(())
             }
         }
     }
+
+    /// What a refused request was to write was not written.
+    pub fn give_back(&mut self, writes: usize) {
+        self.writes.level = (self.writes.level + writes as f64).min(self.writes.burst);
+    }
+
+    /// Takes a request whether it is there or not.
+    pub fn force(&mut self, writes: usize) {
+        self.requests.level -= 1.0;
+        self.writes.level -= writes as f64;
+    }
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -174,6 +187,22 @@
         base.mul_f64(self.rng.borrow_mut().random_range(0.5..1.5))
     }
 
+    /// Waits until the budget has `writes` written keys for this class, and
+    /// takes nothing: for those who decide late, on what they know by then.
+    pub async fn ready(&self, class: Class, writes: usize) {
+        loop {
+            let now = Instant::now();
+            let wait = match self.pause.get() {
+                Some(until) if until > now => until - now,
+                _ => match self.budget.borrow_mut().wait(class, writes, now) {
+                    Some(wait) => wait,
+                    None => return,
+                },
+            };
+            sleep(wait.max(Duration::from_millis(1))).await;
+        }
+    }
+
     async fn admit(&self, class: Class, writes: usize) {
         loop {
             let now = Instant::now();
@@ -184,7 +213,13 @@
                 tokio::time::sleep_until(until).await;
                 continue;
             }
-            let taken = self.budget.borrow_mut().take(class, writes, now);
+            let taken = match class {
+                Class::Round => {
+                    self.budget.borrow_mut().force(writes);
+                    return;
+                }
+                _ => self.budget.borrow_mut().take(class, writes, now),
+            };
             match taken {
                 Ok(()) => return,
                 Err(wait) => sleep(wait.max(Duration::from_millis(1))).await,
@@ -210,6 +245,8 @@
             429 => {
                 let pause = self.jitter(Duration::from_millis(150));
                 self.pause.set(Some(Instant::now() + pause));
+                // Not executed: what it took of the budget is there still.
+                self.budget.borrow_mut().give_back(writes);
                 Err(StoreError::Refused(429))
             }
             s @ 500.. => Err(StoreError::Refused(s)),
--- a/src/view.rs
+++ b/src/view.rs
@@ -6,10 +6,13 @@
 //! entries beyond `revision` serve planning only, never a launch.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
 
 use serde::de::DeserializeOwned;
 
-use crate::model::{Hire, Job, Machine, Renter, Room, Slot, Spec, Team, Types, Zone};
+use crate::model::{
+    Arrivals, Hire, Job, Machine, Part, Ranges, Renter, Room, Slot, Spec, Team, Types,
+};
 use crate::wire::{Event, Pair, Write};
 
 /// All keys of the service begin with this; one watch covers them.
@@ -27,8 +30,12 @@
 pub fn team_key(name: &str) -> String {
     format!("{PREFIX}team/{name}")
 }
-pub fn zone_key(name: &str) -> String {
-    format!("{PREFIX}zone/{name}")
+/// A part's name in the view; its key has it behind `zone/`.
+pub fn part_id(zone: &str, part: &str) -> String {
+    format!("{zone}/{part}")
+}
+pub fn part_key(id: &str) -> String {
+    format!("{PREFIX}zone/{id}")
 }
 pub fn machine_key(id: &str) -> String {
     format!("{PREFIX}machine/{id}")
@@ -36,6 +43,9 @@
 pub fn node_key(name: &str) -> String {
     format!("{PREFIX}node/{name}")
 }
+pub fn arrivals_key(id: &str) -> String {
+    format!("{PREFIX}new/{id}")
+}
 pub fn hire_key(id: &str) -> String {
     format!("{PREFIX}hire/{id}")
 }
@@ -53,7 +63,64 @@
 #[derive(Debug, Default)]
 pub struct Changes {
     pub machines: BTreeSet<String>,
-    pub jobs: BTreeSet<String>,
+}
+
+/// Names as small numbers, so that planning compares and copies no text.
+#[derive(Debug, Default)]
+pub struct Names {
+    numbers: HashMap<Rc<str>, u32>,
+    names: Vec<Rc<str>>,
+}
+
+impl Names {
+    pub fn number(&mut self, name: &str) -> u32 {
+        if let Some(n) = self.numbers.get(name) {
+            return *n;
+        }
+        let n = self.names.len() as u32;
+        let name: Rc<str> = name.into();
+        self.numbers.insert(name.clone(), n);
+        self.names.push(name);
+        n
+    }
+    pub fn find(&self, name: &str) -> Option<u32> {
+        self.numbers.get(name).copied()
+    }
+    pub fn name(&self, number: u32) -> Rc<str> {
+        self.names
+            .get(number as usize)
+            .cloned()
+            .unwrap_or_else(|| "".into())
+    }
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+}
+
+/// Machines of one type, zone and kind: what a job may or may not run on.
+#[derive(Debug, Clone)]
+pub struct Class {
+    pub kind: String,
+    pub zone: Rc<str>,
+    /// The zone's number among `View::zone_names`.
+    pub zone_at: usize,
+    pub spot: bool,
+    /// Where its type stands in the types' record, if it does.
+    pub kind_at: Option<usize>,
+}
+
+/// A machine that takes work, as small as planning can have it.
+#[derive(Debug, Clone, Copy)]
+pub struct Spot {
+    /// Its number among `View::machine_names`.
+    pub machine: u32,
+    /// The number of its part's key among `View::part_names`.
+    pub part: u32,
+    pub class: u32,
+    pub free: Room,
 }
 
 #[derive(Debug, Default)]
@@ -63,9 +130,11 @@
     pub loaded: bool,
     pub jobs: HashMap<String, Entry<Job>>,
     pub teams: Table<Team>,
-    pub zones: Table<Zone>,
+    /// The zones' records, by `zone/part`.
+    pub parts: Table<Part>,
     pub machines: Table<Machine>,
     pub hires: Table<Hire>,
+    pub arrivals: Table<Arrivals>,
     pub types: Entry<Types>,
     pub fleet: Option<Entry<Renter>>,
     /// Controllers whose state lease stands.
@@ -78,7 +147,15 @@
     removed: HashMap<String, u64>,
     /// Images that have been sent to a machine, the latest last. Memory only:
     /// a hint for placing, rebuilt as bookings are seen.
-    images: HashMap<String, Vec<String>>,
+    images: HashMap<u32, Vec<u32>>,
+    image_names: Names,
+    pub machine_names: Names,
+    pub part_names: Names,
+    pub zone_names: Names,
+    pub classes: Vec<Class>,
+    class_numbers: HashMap<(String, String, bool), u32>,
+    /// The parts' machines, ready for planning.
+    spots: BTreeMap<String, Vec<Spot>>,
     /// The latest job that needs accelerators: what machines with accelerators
     /// are kept free for. A hint, too.
     pub gpu_spec: Option<Spec>,
@@ -115,13 +192,18 @@
 impl View {
     /// Takes a full read in place of what was known.
     pub fn reload(&mut self, pairs: Vec<Pair>, revision: u64) {
-        let images = std::mem::take(&mut self.images);
-        let gpu_spec = self.gpu_spec.take();
-        let mut changes = std::mem::take(&mut self.changes);
-        changes.machines.extend(self.machines.keys().cloned());
+        let old = std::mem::take(self);
+        let mut changes = old.changes;
+        changes.machines.extend(old.machines.into_keys());
         *self = View {
-            images,
-            gpu_spec,
+            images: old.images,
+            image_names: old.image_names,
+            machine_names: old.machine_names,
+            part_names: old.part_names,
+            zone_names: old.zone_names,
+            classes: old.classes,
+            class_numbers: old.class_numbers,
+            gpu_spec: old.gpu_spec,
             changes,
             loaded: true,
             revision,
@@ -188,17 +270,17 @@
                 );
             }
             "zone" => {
-                put(
-                    &mut self.zones,
-                    id,
-                    version,
-                    value.and_then(|v| parse(key, v)),
-                );
+                let part = value.and_then(|v| parse(key, v));
+                if put(&mut self.parts, id, version, part) {
+                    self.index_part(id);
+                }
             }
             "machine" => {
                 let machine = value.and_then(|v| parse(key, v));
-                if machine.is_none() {
-                    self.images.remove(id);
+                if machine.is_none()
+                    && let Some(n) = self.machine_names.find(id)
+                {
+                    self.images.remove(&n);
                 }
                 if put(&mut self.machines, id, version, machine) {
                     self.changes.machines.insert(id.to_string());
@@ -212,6 +294,19 @@
                     value.and_then(|v| parse(key, v)),
                 );
             }
+            "new" => {
+                let arrivals = value.and_then(|v| parse::<Arrivals>(key, v));
+                if let Some(arrivals) = &arrivals {
+                    for (job, spec) in &arrivals.jobs {
+                        // A record of its own, whatever it says, is newer.
+                        if !self.jobs.contains_key(job) {
+                            let new = Job::new(spec.clone(), arrivals.born);
+                            self.place_job(job, 0, new);
+                        }
+                    }
+                }
+                put(&mut self.arrivals, id, version, arrivals);
+            }
             "node" => {
                 put(
                     &mut self.nodes,
@@ -225,6 +320,10 @@
                     && version > self.types.version
                 {
                     self.types = Entry { version, value };
+                    for class in &mut self.classes {
+                        let types = &self.types.value.types;
+                        class.kind_at = types.iter().position(|t| t.name == class.kind);
+                    }
                 }
             }
             "fleet" => {
@@ -238,29 +337,74 @@
     }
 
     fn set_job(&mut self, id: &str, version: u64, job: Option<Job>) {
-        let old = self.jobs.get(id);
-        if old.is_some_and(|e| e.version >= version) {
+        if self.jobs.get(id).is_some_and(|e| e.version >= version) {
             return;
         }
-        if let Some(old) = old {
-            if old.value.is_open() {
-                self.open.remove(&(old.value.born, id.to_string()));
+        let old = self.jobs.remove(id).map(|e| e.value);
+        self.index_job(id, old, &job);
+        if let Some(job) = job {
+            self.place_job(id, version, job);
+        }
+    }
+
+    /// What else in the view follows from a job's runs.
+    fn index_job(&mut self, id: &str, old: Option<Job>, job: &Option<Job>) {
+        let open = |job: &Option<Job>| job.as_ref().is_some_and(Job::is_open);
+        // Whether a job runs may be all that has changed for its machines.
+        let all = open(&old) != open(job);
+        let runs = |job: &Option<Job>| {
+            let mut map: HashMap<(String, u64, bool), Ranges> = HashMap::new();
+            for run in job.iter().flat_map(|j| &j.runs) {
+                let key = (run.machine.clone(), run.attempt, run.stop);
+                map.insert(key, run.tasks.clone());
             }
-            for run in &old.value.runs {
-                if let Some(set) = self.bookings.get_mut(&run.machine) {
-                    set.remove(id);
-                    if set.is_empty() {
-                        self.bookings.remove(&run.machine);
-                    }
-                }
-                self.changes.machines.insert(run.machine.clone());
+            map
+        };
+        let (before, after) = (runs(&old), runs(job));
+        for (key, tasks) in &before {
+            if all || after.get(key) != Some(tasks) {
+                self.changes.machines.insert(key.0.clone());
             }
         }
-        self.changes.jobs.insert(id.to_string());
-        let Some(job) = job else {
-            self.jobs.remove(id);
-            return;
+        for (key, tasks) in &after {
+            if all || before.get(key) != Some(tasks) {
+                self.changes.machines.insert(key.0.clone());
+            }
+        }
+        let on = |runs: &HashMap<(String, u64, bool), Ranges>| -> BTreeSet<String> {
+            runs.keys().map(|k| k.0.clone()).collect()
         };
+        let (here, there) = (on(&before), on(&after));
+        for machine in here.difference(&there) {
+            if let Some(set) = self.bookings.get_mut(machine) {
+                set.remove(id);
+                if set.is_empty() {
+                    self.bookings.remove(machine);
+                }
+            }
+        }
+        let image = job.as_ref().and_then(|j| j.spec.as_ref());
+        let image = image.map(|s| self.image_names.number(&s.image));
+        for machine in there.difference(&here) {
+            let set = self.bookings.entry(machine.clone()).or_default();
+            set.insert(id.to_string());
+            let Some(image) = image else { continue };
+            let number = self.machine_names.number(machine);
+            let images = self.images.entry(number).or_default();
+            if images.last() != Some(&image) {
+                images.retain(|i| *i != image);
+                images.push(image);
+                if images.len() > IMAGES_REMEMBERED {
+                    images.remove(0);
+                }
+            }
+        }
+        if let Some(old) = old.filter(Job::is_open) {
+            self.open.remove(&(old.born, id.to_string()));
+        }
+    }
+
+    fn place_job(&mut self, id: &str, version: u64, job: Job) {
         if job.is_open() {
             self.open.insert((job.born, id.to_string()));
         }
@@ -269,37 +413,78 @@
         {
             self.gpu_spec = Some(spec.clone());
         }
-        for run in &job.runs {
-            self.bookings
-                .entry(run.machine.clone())
-                .or_default()
-                .insert(id.to_string());
-            self.changes.machines.insert(run.machine.clone());
-            if let Some(spec) = &job.spec {
-                let images = self.images.entry(run.machine.clone()).or_default();
-                if images.last() != Some(&spec.image) {
-                    images.retain(|i| *i != spec.image);
-                    images.push(spec.image.clone());
-                    if images.len() > IMAGES_REMEMBERED {
-                        images.remove(0);
-                    }
-                }
-            }
+        let value = job;
+        self.jobs.insert(id.to_string(), Entry { version, value });
+    }
+
+    /// Makes a part's machines ready for planning.
+    fn index_part(&mut self, id: &str) {
+        let Some(entry) = self.parts.get(id) else {
+            self.spots.remove(id);
+            return;
+        };
+        let zone = id.split('/').next().unwrap_or(id).to_string();
+        let part = self.part_names.number(id);
+        let slots: Vec<(String, Slot)> = entry
+            .value
+            .machines
+            .iter()
+            .map(|(m, s)| (m.clone(), s.clone()))
+            .collect();
+        let spots = slots
+            .into_iter()
+            .map(|(machine, slot)| Spot {
+                machine: self.machine_names.number(&machine),
+                part,
+                class: self.class(&slot.kind, &zone, slot.spot),
+                free: slot.free,
+            })
+            .collect();
+        self.spots.insert(id.to_string(), spots);
+    }
+
+    /// The number of a class of machines.
+    pub fn class(&mut self, kind: &str, zone: &str, spot: bool) -> u32 {
+        let key = (kind.to_string(), zone.to_string(), spot);
+        if let Some(n) = self.class_numbers.get(&key) {
+            return *n;
         }
-        self.jobs.insert(
-            id.to_string(),
-            Entry {
-                version,
-                value: job,
-            },
-        );
+        let n = self.classes.len() as u32;
+        let zone_at = self.zone_names.number(zone);
+        self.classes.push(Class {
+            kind: kind.to_string(),
+            zone: self.zone_names.name(zone_at),
+            zone_at: zone_at as usize,
+            spot,
+            kind_at: self.types.value.types.iter().position(|t| t.name == kind),
+        });
+        self.class_numbers.insert(key, n);
+        n
+    }
+
+    pub fn find_class(&self, kind: &str, zone: &str, spot: bool) -> Option<u32> {
+        let key = (kind.to_string(), zone.to_string(), spot);
+        self.class_numbers.get(&key).copied()
+    }
+
+    pub fn class_type(&self, class: &Class) -> Option<&crate::wire::MachineType> {
+        self.types.value.types.get(class.kind_at?)
+    }
+
+    /// All machines that take work.
+    pub fn spots(&self) -> impl Iterator<Item = &Spot> {
+        self.spots.values().flatten()
+    }
+
+    /// The number of an image that some machine has been sent.
+    pub fn image(&self, image: &str) -> Option<u32> {
+        self.image_names.find(image)
     }
 
     /// Whether the machine has been sent this image before.
-    pub fn has_image(&self, machine: &str, image: &str) -> bool {
-        self.images
-            .get(machine)
-            .is_some_and(|v| v.iter().any(|i| i == image))
+    pub fn has_image(&self, machine: u32, image: Option<u32>) -> bool {
+        let images = self.images.get(&machine);
+        image.is_some_and(|i| images.is_some_and(|v| v.contains(&i)))
     }
 
     /// The jobs that book something on this machine.
@@ -337,12 +522,14 @@
     }
 
     /// The slot that a machine has in its zone's record.
-    pub fn slot(&self, zone: &str, machine: &str) -> Option<&Slot> {
-        self.zones.get(zone)?.value.machines.get(machine)
+    pub fn slot(&self, machine: &str) -> Option<&Slot> {
+        let m = &self.machines.get(machine)?.value;
+        let part = self.parts.get(&part_id(&m.zone, &m.part))?;
+        part.value.machines.get(machine)
     }
 
-    pub fn zone_version(&self, zone: &str) -> u64 {
-        self.zones.get(zone).map_or(0, |e| e.version)
+    pub fn part_version(&self, id: &str) -> u64 {
+        self.parts.get(id).map_or(0, |e| e.version)
     }
     pub fn team_version(&self, team: &str) -> u64 {
         self.teams.get(team).map_or(0, |e| e.version)
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -10,7 +10,7 @@
 use shelfhoist::machines::{EndKey, Hand, reconcile};
 use shelfhoist::model::*;
 use shelfhoist::settings::Settings;
-use shelfhoist::view::{View, job_key, machine_key, zone_key};
+use shelfhoist::view::{View, job_key, machine_key, part_id, part_key};
 use shelfhoist::wire::*;
 use tokio::time::Instant;
 
@@ -260,8 +260,10 @@
     }
 }
 
-fn plan(rooms: &[(&str, &str, f64)]) -> Plan {
-    let mut plan = Plan::default();
+/// A view whose parts have these rooms: zone, machine, CPUs.
+fn view_with(rooms: &[(&str, &str, f64)]) -> View {
+    let mut view = view_with_types();
+    let mut parts: BTreeMap<&str, Part> = BTreeMap::new();
     for (zone, machine, cpus) in rooms {
         let free = Room {
             cpus: Amount::room(*cpus),
@@ -273,36 +275,35 @@
             spot: false,
             free,
         };
-        plan.zones
-            .entry(zone.to_string())
-            .or_default()
-            .machines
-            .insert(machine.to_string(), slot);
+        let part = parts.entry(zone).or_default();
+        part.machines.insert(machine.to_string(), slot);
     }
-    plan
+    let events = parts.iter().map(|(zone, part)| Event::Put {
+        key: part_key(&part_id(zone, "n0.0")),
+        value: serde_json::to_value(part).expect("part"),
+        version: 3,
+    });
+    view.advance(events.collect(), 3);
+    view
+}
+
+fn hints(view: &View) -> Hints<'_> {
+    Hints { view, home: "n0" }
 }
 
 /// KEP-2724, "Computing the assignment": required waits, preferred relaxes.
 #[test]
 fn gangs_fit_one_zone_or_relax() {
     let set = settings();
-    let view = view_with_types();
-    let hints = Hints { view: &view };
-    let split = plan(&[("a", "m1", 4.0), ("b", "m2", 4.0)]);
-    let whole = plan(&[("a", "m1", 2.0), ("b", "m2", 4.0), ("b", "m3", 2.0)]);
-    let fit = |spec: &Spec, plan: &Plan| {
-        admission::fit(
-            &Job::new(spec.clone(), 1),
-            spec,
-            plan,
-            &hints,
-            &set,
-            Care::Lax,
-        )
-        .map(|places| {
+    let split = view_with(&[("a", "m1", 4.0), ("b", "m2", 4.0)]);
+    let whole = view_with(&[("a", "m1", 2.0), ("b", "m2", 4.0), ("b", "m3", 2.0)]);
+    let fit = |spec: &Spec, view: &View| {
+        let job = Job::new(spec.clone(), 1);
+        let plan = Plan::of(view);
+        admission::fit(&job, spec, &plan, &hints(view), &set, Care::Lax).map(|places| {
             let mut zones = BTreeMap::new();
             for p in places {
-                *zones.entry(p.zone).or_insert(0) += 1;
+                *zones.entry(p.zone.to_string()).or_insert(0) += 1;
             }
             zones.into_iter().collect::<Vec<_>>()
         })
@@ -333,10 +334,10 @@
         spread: true,
         ..spec(Kind::Service, 3, 2.0)
     };
-    let one = plan(&[("a", "m1", 8.0)]);
+    let one = view_with(&[("a", "m1", 8.0)]);
     assert_eq!(fit(&spread, &one), Ok(vec![("a".into(), 2)]));
     // 16 CPUs are the team's limit, whatever the room.
-    let wide = plan(&[("a", "m1", 40.0)]);
+    let wide = view_with(&[("a", "m1", 40.0)]);
     assert_eq!(
         fit(&spec(Kind::Array, 20, 2.0), &wide),
         Ok(vec![("a".into(), 8)])
@@ -349,18 +350,18 @@
 #[test]
 fn old_attempts_count_for_the_place() {
     let set = settings();
-    let view = view_with_types();
-    let hints = Hints { view: &view };
-    let plan = plan(&[("a", "m1", 8.0), ("b", "m2", 8.0)]);
+    let view = view_with(&[("a", "m1", 8.0), ("b", "m2", 8.0)]);
+    let hints = hints(&view);
+    let plan = Plan::of(&view);
     let s = Spec {
         one_zone: true,
         ..spec(Kind::Array, 3, 2.0)
     };
     let mut job = Job::new(s.clone(), 1);
-    let task = job.take_waiting().expect("one");
+    let task = job.take_fresh().expect("one");
     job.book("m9", "b", 1, task);
     let places = admission::fit(&job, &s, &plan, &hints, &set, Care::Lax).expect("fits");
-    assert!(places.iter().all(|p| p.zone == "b"), "{places:?}");
+    assert!(places.iter().all(|p| &*p.zone == "b"), "{places:?}");
     let gang = spec(Kind::Gang, 2, 2.0);
     let mut job = Job::new(gang.clone(), 1);
     job.book("m9", "b", 1, 0);
@@ -387,7 +388,7 @@
 fn jobs_come_to_their_end() {
     let mut array = Job::new(spec(Kind::Array, 2, 1.0), 1);
     for _ in 0..2 {
-        let t = array.take_waiting().expect("waiting");
+        let t = array.take_fresh().expect("waiting");
         array.book("m", "a", 1, t);
     }
     assert!(array.release("m", 1, 0, Outcome::Done));
@@ -401,7 +402,7 @@
     );
     assert!(array.release("m", 1, 1, Outcome::Lost));
     assert!(array.is_open() && array.waiting() == 1 && array.done_count() == 1);
-    let t = array.take_waiting().expect("again");
+    let t = array.retry.pop_first().expect("again");
     array.book("m", "a", 2, t);
     assert!(array.release("m", 2, 1, Outcome::Done));
     assert_eq!((array.fin, array.spec.is_none()), (Final::Done, true));
@@ -424,7 +425,7 @@
 fn held(kind: Kind, edit: impl FnOnce(&mut Job)) -> View {
     let mut view = view_with_types();
     let mut job = Job::new(spec(kind, 1, 1.0), 1);
-    job.take_waiting();
+    job.take_fresh();
     job.book("m", "a", 1, 0);
     edit(&mut job);
     let machine = Machine {
@@ -435,6 +436,7 @@
         kind: "small".into(),
         zone: "a".into(),
         spot: false,
+        part: "n0.0".into(),
     };
     let set = |key: String, value: serde_json::Value| Event::Put {
         key,
@@ -448,7 +450,7 @@
                 machine_key("m"),
                 serde_json::to_value(&machine).expect("machine"),
             ),
-            set(zone_key("a"), json!({"m": {}})),
+            set(part_key("a/n0.0"), json!({"m": {}})),
         ],
         10,
     );
@@ -705,29 +707,20 @@
 #[test]
 fn a_full_job_record_stays_within_value_kb() {
     let set = settings();
-    let view = view_with_types();
-    let hints = Hints { view: &view };
     let mut set_wide = set.clone();
     set_wide.deployment.teams[0].cpus_max = 1e6;
     let s = spec(Kind::Array, 100_000, 0.001);
-    let rooms: Vec<(String, String)> = (0..40)
-        .map(|n| ("a".into(), format!("host-{n:06}")))
-        .collect();
-    let rooms: Vec<(&str, &str, f64)> = rooms
-        .iter()
-        .map(|(z, m)| (z.as_str(), m.as_str(), 0.05))
-        .collect();
+    let names: Vec<String> = (0..40).map(|n| format!("host-{n:06}")).collect();
+    let rooms: Vec<(&str, &str, f64)> = names.iter().map(|m| ("a", m.as_str(), 0.05)).collect();
+    let view = view_with(&rooms);
     let mut job = Job::new(s.clone(), 1);
     for _ in 0..20 {
-        let Ok(places) = admission::fit(&job, &s, &plan(&rooms), &hints, &set_wide, Care::Lax)
+        let plan = Plan::of(&view);
+        let Ok(places) = admission::fit(&job, &s, &plan, &hints(&view), &set_wide, Care::Lax)
         else {
             break;
         };
-        job.attempt += 1;
-        for p in places {
-            let t = job.take_waiting().expect("waiting");
-            job.book(&p.machine, &p.zone, job.attempt, t);
-        }
+        shelfhoist::draft::book(&mut job, &s, &places);
         // Every second one ends, the rest stays scattered.
         let ends: Vec<_> = job
             .runs
