Ends write job records alone; the renter calls the cloud at once, in the queue's order

What a team and a machine have booked follows from the job records in the view, and every booking still guards and writes its team and part, so that ends need not. Returns share commits.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -44,8 +44,8 @@
 /// Stands for a machine that has no name yet, as it is not rented yet.
 pub const UNNAMED: u32 = u32::MAX;
 
-/// Free room as a round plans with it: what the records say, less what the
-/// round has given out already. Copied often, so it holds no text.
+/// Free room as a round plans with it: what the view's bookings leave, less
+/// what the round has given out already. Copied often, so it holds no text.
 #[derive(Debug, Clone, Default)]
 pub struct Plan {
     pub spots: Vec<Spot>,
@@ -57,13 +57,9 @@
 impl Plan {
     pub fn of(view: &View) -> Self {
         let mut plan = Plan {
-            spots: view.spots().copied().collect(),
+            spots: view.spots().map(|s| view.with_room(s)).collect(),
             at: vec![UNNAMED; view.machine_names.len()],
-            teams: view
-                .teams
-                .iter()
-                .map(|(k, e)| (k.clone(), e.value.used))
-                .collect(),
+            teams: view.teams_used().clone(),
         };
         for (at, spot) in plan.spots.iter().enumerate() {
             plan.at[spot.machine as usize] = at as u32;
--- a/src/draft.rs
+++ b/src/draft.rs
@@ -10,7 +10,7 @@
 use crate::machines::EndKey;
 use crate::model::{Job, Life, Outcome, Part, Room, Spec, Team};
 use crate::node::{guard, put};
-use crate::view::{View, job_key, machine_key, part_id, part_key, team_key};
+use crate::view::{View, job_key, machine_key, part_key, team_key};
 use crate::wire::{Guard, Write};
 
 /// Conditions that a commit may have for each of its writes, by the protocol.
@@ -23,6 +23,9 @@
     pub jobs: BTreeMap<String, Job>,
     teams: BTreeMap<String, Room>,
     parts: BTreeMap<String, Part>,
+    /// What this draft's ends free.
+    released: BTreeMap<String, Room>,
+    team_released: BTreeMap<String, Room>,
     /// Machines whose records must be as they are, but are not written.
     machines: BTreeSet<String>,
 }
@@ -45,6 +48,8 @@
             jobs: BTreeMap::new(),
             teams: BTreeMap::new(),
             parts: BTreeMap::new(),
+            released: BTreeMap::new(),
+            team_released: BTreeMap::new(),
             machines: BTreeSet::new(),
         }
     }
@@ -82,17 +87,24 @@
     }
 
     fn edit_team(&mut self, team: &str) -> &mut Room {
-        let view = self.view;
-        self.teams
-            .entry(team.to_string())
-            .or_insert_with(|| view.team_used(team))
+        let released = self.team_released.get(team).copied().unwrap_or_default();
+        let used = self.view.team_used(team) - released;
+        self.teams.entry(team.to_string()).or_insert(used)
     }
 
     fn edit_part(&mut self, id: &str) -> &mut Part {
-        let view = self.view;
+        let (view, released) = (self.view, &self.released);
         self.parts.entry(id.to_string()).or_insert_with(|| {
             let known = view.parts.get(id).map(|e| e.value.clone());
-            known.unwrap_or_default()
+            let mut part = known.unwrap_or_default();
+            for (machine, slot) in &mut part.machines {
+                let room = view
+                    .type_of(&slot.kind)
+                    .map_or(Room::default(), Room::of_type);
+                let ended = released.get(machine).copied().unwrap_or_default();
+                slot.free = room - view.booked_on(machine) - slot.unbooked + ended;
+            }
+            part
         })
     }
 
@@ -108,15 +120,13 @@
         // Safety 3: what proved the end holds only while the machine is still
         // ours, or once it is gone for good; the guard on its record makes
         // the commit depend on it.
-        let machine = match self.view.machines.get(&key.machine) {
-            Some(e)
-                if e.value.life == Life::Gone
-                    || (e.value.holder == node && e.value.incarnation == incarnation) =>
-            {
-                &e.value
-            }
-            _ => return Released::Stale,
-        };
+        let proven = self.view.machines.get(&key.machine).is_some_and(|e| {
+            let m = &e.value;
+            m.life == Life::Gone || (m.holder == node && m.incarnation == incarnation)
+        });
+        if !proven {
+            return Released::Stale;
+        }
         let Some(job) = self.job(&key.job) else {
             return Released::Stale;
         };
@@ -126,19 +136,10 @@
         if job.find(&key.machine, key.attempt, key.task).is_none() {
             return Released::Stale;
         }
-        let part = part_id(&machine.zone, &machine.part);
-        let in_part = |p: &Part| p.machines.contains_key(&key.machine);
-        let has_slot = match self.parts.get(&part) {
-            Some(p) => in_part(p),
-            None => self
-                .view
-                .parts
-                .get(&part)
-                .is_some_and(|e| in_part(&e.value)),
-        };
-        let parts = has_slot.then_some(part.as_str()).into_iter().collect();
+        // Neither the team's record nor the part's is written: what ends is
+        // known to all from the job's, and the next booking there counts it.
         let most = self.most * (GUARDS_PER_WRITE - 1);
-        if !self.has_room(&key.job, Some(&spec.team), &parts)
+        if !self.has_room(&key.job, None, &BTreeSet::new())
             || (self.machines.len() >= most && !self.machines.contains(&key.machine))
         {
             return Released::Full;
@@ -146,10 +147,8 @@
         if let Some(job) = self.edit_job(&key.job) {
             job.release(&key.machine, key.attempt, key.task, outcome);
         }
-        *self.edit_team(&spec.team) -= spec.need;
-        if has_slot && let Some(slot) = self.edit_part(&part).machines.get_mut(&key.machine) {
-            slot.free += spec.need;
-        }
+        *self.released.entry(key.machine.clone()).or_default() += spec.need;
+        *self.team_released.entry(spec.team).or_default() += spec.need;
         self.machines.insert(key.machine.clone());
         Released::Yes
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -14,10 +14,10 @@
 
 use crate::admission::{self, Care, Hints, Plan};
 use crate::http::Response;
-use crate::model::{Hire, Job, Life, Machine, Renter, Room, Spec, Types};
+use crate::model::{Hire, Job, Life, Machine, Part, Renter, Room, Spec, Types};
 use crate::node::{Node, guard, put};
 use crate::policy::MachineFacts;
-use crate::store::{Class, StoreError};
+use crate::store::{Bucket, Class, StoreError};
 use crate::view::{
     Entry, FLEET_KEY, TYPES_KEY, View, arrivals_key, hire_key, job_key, machine_key, node_key,
     part_id, part_key,
@@ -57,6 +57,9 @@
     types_at: Option<Instant>,
     /// The cloud is left alone until then.
     cloud_pause: Option<Instant>,
+    cloud_calls: Option<Bucket>,
+    /// Rentals whose call is under way.
+    calling: HashSet<String>,
 }
 
 impl FleetState {
@@ -96,14 +99,27 @@
         if pause.is_some_and(|t| t > Instant::now()) {
             return None;
         }
+        // The renter alone calls; rentals call at once, inside the limit.
+        loop {
+            let now = Instant::now();
+            let taken = {
+                let rps = self.settings.deployment.cloud.rps;
+                let mut fleet = self.fleet.borrow_mut();
+                let bucket = fleet
+                    .cloud_calls
+                    .get_or_insert_with(|| Bucket::new(rps * 0.9, rps, now));
+                bucket.take_one(now)
+            };
+            match taken {
+                Ok(()) => break,
+                Err(wait) => sleep(wait).await,
+            }
+        }
         let limit = self.settings.lease() / 3;
         let answer = self
             .client
             .call(self.settings.external.cloud, method, path, body, limit)
             .await;
-        // The renter alone calls, one call after another, inside the limit.
-        let gap = Duration::from_secs_f64(1.2 / self.settings.deployment.cloud.rps);
-        sleep(gap).await;
         match answer {
             Ok(r) if r.status == 429 || (r.status >= 500 && !is_no_capacity(&r)) => {
                 tracing::debug!(status = r.status, path, "cloud refuses");
@@ -125,8 +141,9 @@
 }
 
 /// Keeps this controller's state lease, the key that says it is up, and, when
-/// nobody has it, the key that says who rents.
-async fn keep_lease(node: &Node) -> Result<(), StoreError> {
+/// nobody has it, the key that says who rents. True when there is more to do
+/// at once.
+async fn keep_lease(node: &Node) -> Result<bool, StoreError> {
     let ttl = node.settings.lease() / 2;
     let held = node.fleet.borrow().lease;
     let Some(lease) = held else {
@@ -134,7 +151,7 @@
         let mut fleet = node.fleet.borrow_mut();
         fleet.lease = Some(lease);
         fleet.extended = Some(Instant::now());
-        return Ok(());
+        return Ok(true);
     };
     let due = node
         .fleet
@@ -147,7 +164,7 @@
             Err(StoreError::NoLease) => {
                 tracing::info!("the state lease has run out");
                 node.fleet.borrow_mut().lease = None;
-                return Ok(());
+                return Ok(false);
             }
             Err(e) => return Err(e),
         }
@@ -177,7 +194,7 @@
         }
     }
     if writes.is_empty() {
-        return Ok(());
+        return Ok(false);
     }
     let rents = writes.len() > 1 || guards.iter().any(|g| g.key == FLEET_KEY);
     match node.commit(Class::Lease, guards, writes).await {
@@ -185,11 +202,11 @@
             if rents {
                 tracing::info!("renting from now on");
             }
-            Ok(())
+            Ok(false)
         }
         Err(StoreError::NoLease) => {
             node.fleet.borrow_mut().lease = None;
-            Ok(())
+            Ok(false)
         }
         Err(e) => Err(e),
     }
@@ -198,8 +215,11 @@
 /// The renter reads the machine types and keeps them in the state, where
 /// every controller, a newly started one too, finds them.
 pub async fn keep_types(node: Rc<Node>) {
+    let tick = node.settings.report() / 3;
     loop {
-        sleep(node.settings.report() / 3).await;
+        // Until the types are known nobody can accept anything.
+        let known = !node.view.borrow().types.value.types.is_empty();
+        sleep(if known { tick } else { tick / 16 }).await;
         if !node.is_renter() {
             continue;
         }
@@ -224,7 +244,7 @@
         if known.value != types {
             let guards = vec![guard(TYPES_KEY.to_string(), known.version)];
             let writes = vec![put(TYPES_KEY.to_string(), &types)];
-            if let Err(error) = node.commit(Class::Room, guards, writes).await {
+            if let Err(error) = node.commit(Class::Lease, guards, writes).await {
                 tracing::debug!(%error, "types not recorded");
                 node.fleet.borrow_mut().types_at = None;
             }
@@ -236,14 +256,19 @@
 /// budget may hold up the rest for longer than it lasts.
 pub async fn keep_leases(node: Rc<Node>) {
     let tick = node.settings.lease() / 16;
+    let soon = tick / 16;
     loop {
-        sleep(node.store.jitter(tick)).await;
         if !node.view.borrow().loaded {
+            sleep(soon).await;
             continue;
         }
-        if let Err(error) = keep_lease(&node).await {
-            tracing::debug!(%error, "state lease");
+        match keep_lease(&node).await {
+            // A lease that is new signs for this controller at once.
+            Ok(true) => continue,
+            Ok(false) => {}
+            Err(error) => tracing::debug!(%error, "state lease"),
         }
+        sleep(node.store.jitter(tick)).await;
     }
 }
 
@@ -265,48 +290,67 @@
     }
 }
 
-/// Writes a machine's new life, taking it out of its zone's record unless it
-/// stays active. Guarded by both, so that no booking slips in between.
 async fn set_life(node: &Node, id: &str, life: Life) -> bool {
-    let (guards, writes) = {
+    let all = set_lives(node, &[(id.to_string(), life)]).await;
+    all.contains(id)
+}
+
+/// Writes machines' new lives, taking them out of their parts' records unless
+/// they stay active; as many as one commit holds, and tells which. Guarded by
+/// the parts, too, so that no booking slips in between.
+async fn set_lives(node: &Node, lives: &[(String, Life)]) -> HashSet<String> {
+    let ops = node.settings.deployment.state.txn_ops;
+    let mut guards = Vec::new();
+    let mut writes = Vec::new();
+    let mut changed = HashSet::new();
+    {
         let view = node.view.borrow();
-        let Some(entry) = view.machines.get(id) else {
-            return false;
-        };
-        let mut machine = entry.value.clone();
-        // Safety 5: returning is never undone.
-        let onward = match machine.life {
-            Life::Gone => false,
-            Life::Returning => life == Life::Gone,
-            _ => machine.life != life,
-        };
-        if !onward {
-            return false;
-        }
-        machine.life = life;
-        let mut guards = vec![guard(machine_key(id), entry.version)];
-        let mut writes = vec![put(machine_key(id), &machine)];
-        let part = part_id(&machine.zone, &machine.part);
-        if life != Life::Active
-            && let Some(entry) = view.parts.get(&part)
-        {
-            let mut record = entry.value.clone();
-            // The part is guarded even if the machine is not in its record:
-            // a claim could be putting it there just now.
-            guards.push(guard(part_key(&part), entry.version));
-            if record.machines.remove(id).is_some() {
-                writes.push(put(part_key(&part), &record));
+        let mut parts: BTreeMap<String, (Part, bool)> = BTreeMap::new();
+        for (id, life) in lives {
+            let Some(entry) = view.machines.get(id) else {
+                continue;
+            };
+            let mut machine = entry.value.clone();
+            // Safety 5: returning is never undone.
+            let onward = match machine.life {
+                Life::Gone => false,
+                Life::Returning => *life == Life::Gone,
+                _ => machine.life != *life,
+            };
+            // A machine and perhaps its part.
+            if !onward || writes.len() + parts.len() + 2 > ops {
+                continue;
+            }
+            machine.life = *life;
+            guards.push(guard(machine_key(id), entry.version));
+            writes.push(put(machine_key(id), &machine));
+            changed.insert(id.clone());
+            let part = part_id(&machine.zone, &machine.part);
+            if *life != Life::Active
+                && let Some(entry) = view.parts.get(&part)
+            {
+                // The part is guarded even if the machine is not in its
+                // record: a claim could be putting it there just now.
+                let record = parts.entry(part);
+                let record = record.or_insert_with(|| (entry.value.clone(), false));
+                record.1 |= record.0.machines.remove(id).is_some();
             }
         }
-        (guards, writes)
-    };
-    match node.commit(Class::Claim, guards, writes).await {
-        Ok(_) => true,
-        Err(error) => {
-            tracing::debug!(machine = id, %error, "life not changed");
-            false
+        for (id, (part, changed)) in parts {
+            guards.push(guard(part_key(&id), view.part_version(&id)));
+            if changed {
+                writes.push(put(part_key(&id), &part));
+            }
         }
     }
+    if writes.is_empty() {
+        return changed;
+    }
+    if let Err(error) = node.commit(Class::Claim, guards, writes).await {
+        tracing::debug!(?lives, %error, "lives not changed");
+        changed.clear();
+    }
+    changed
 }
 
 /// Machines with a spot notice take no new work, and gangs that can save are
@@ -406,26 +450,50 @@
 }
 
 async fn send_away(node: &Node, leaving: Vec<(String, Life, &'static str)>) {
-    for (id, life, why) in leaving {
-        if !node.view.borrow().machines.contains_key(&id) {
-            give_up(node, &id).await;
-            continue;
-        }
-        if set_life(node, &id, life).await {
+    let (known, new): (Vec<_>, Vec<_>) = {
+        let view = node.view.borrow();
+        let known = |id: &str| view.machines.contains_key(id);
+        leaving.into_iter().partition(|(id, _, _)| known(id))
+    };
+    for (id, _, _) in new {
+        give_up(node, &id).await;
+    }
+    for some in known.chunks((node.settings.deployment.state.txn_ops / 2).max(1)) {
+        let lives: Vec<(String, Life)> = some.iter().map(|l| (l.0.clone(), l.1)).collect();
+        let changed = set_lives(node, &lives).await;
+        for (id, life, why) in some.iter().filter(|l| changed.contains(&l.0)) {
             tracing::info!(machine = id, ?life, why, "leaves service");
         }
     }
 }
 
 /// One pass over the fleet.
-async fn tend(node: &Node) {
+async fn tend(node: &Rc<Node>) {
     describe(node);
     finish_returns(node).await;
     settle_records(node).await;
     read_list(node).await;
     send_away(node, judge(node)).await;
-    resolve_hires(node).await;
     consolidate(node).await;
+}
+
+/// Rents what is missing, apart from the rest: work waits for it.
+pub async fn keep_renting(node: Rc<Node>) {
+    let tick = node.settings.report().min(node.settings.lease() / 8) / 2;
+    loop {
+        sleep(node.store.jitter(tick)).await;
+        if node.view.borrow().loaded && node.is_renter() && node.has_state() {
+            rent(&node).await;
+        }
+    }
+}
+
+async fn rent(node: &Rc<Node>) {
+    resolve_hires(node);
+    // What an answer that is awaited refuses is not asked for again.
+    if !node.fleet.borrow().calling.is_empty() {
+        return;
+    }
     let hires = demand(node);
     if hires.is_empty() {
         return;
@@ -450,7 +518,7 @@
         writes.push(put(hire_key(&id), &hire));
     }
     match node.commit(Class::Claim, guards, writes).await {
-        Ok(_) => resolve_hires(node).await,
+        Ok(_) => resolve_hires(node),
         Err(error) => tracing::debug!(%error, "rental not recorded"),
     }
 }
@@ -584,75 +652,79 @@
 
 /// Calls the cloud for every recorded rental until it has answered: repeating
 /// a request by its name rents nothing twice.
-async fn resolve_hires(node: &Node) {
-    let hires: Vec<(String, u64, Hire)> = node
-        .view
-        .borrow()
-        .hires
-        .iter()
-        .filter(|(_, e)| e.value.machines.is_empty())
-        .map(|(id, e)| (id.clone(), e.version, e.value.clone()))
-        .collect();
-    for (id, version, mut hire) in hires {
-        let request = RentRequest {
-            request: &id,
-            kind: &hire.kind,
-            zone: &hire.zone,
-            spot: hire.spot,
-            count: hire.count,
-        };
-        let Ok(body) = serde_json::to_vec(&request) else {
-            continue;
-        };
-        let Some(r) = node.cloud("POST", "/rentals", Some(body)).await else {
-            return;
-        };
-        let mut short = true;
-        if r.status == 200
-            && let Ok(names) = r.parse::<MachineNames>()
-        {
-            short = (names.machines.len() as u32) < hire.count;
-            let view = node.view.borrow();
-            // The workers of some may have been quicker than the answer.
-            hire.machines = names.machines;
-            hire.machines.retain(|m| !view.machines.contains_key(m));
+fn resolve_hires(node: &Rc<Node>) {
+    let view = node.view.borrow();
+    let mut fleet = node.fleet.borrow_mut();
+    for (id, e) in &view.hires {
+        if e.value.machines.is_empty() && fleet.calling.insert(id.clone()) {
+            let (node, id, version, hire) = (node.clone(), id.clone(), e.version, e.value.clone());
+            tokio::task::spawn_local(async move {
+                resolve_hire(&node, &id, version, hire).await;
+                node.fleet.borrow_mut().calling.remove(&id);
+            });
         }
+    }
+}
+
+async fn resolve_hire(node: &Node, id: &str, version: u64, mut hire: Hire) {
+    let request = RentRequest {
+        request: id,
+        kind: &hire.kind,
+        zone: &hire.zone,
+        spot: hire.spot,
+        count: hire.count,
+    };
+    let Ok(body) = serde_json::to_vec(&request) else {
+        return;
+    };
+    let Some(r) = node.cloud("POST", "/rentals", Some(body)).await else {
+        return;
+    };
+    let mut short = true;
+    if r.status == 200
+        && let Ok(names) = r.parse::<MachineNames>()
+    {
+        short = (names.machines.len() as u32) < hire.count;
+        let view = node.view.borrow();
+        // The workers of some may have been quicker than the answer.
+        hire.machines = names.machines;
+        hire.machines.retain(|m| !view.machines.contains_key(m));
+    }
+    if short {
+        tracing::info!(
+            kind = hire.kind,
+            zone = hire.zone,
+            spot = hire.spot,
+            status = r.status,
+            got = hire.machines.len(),
+            "no capacity"
+        );
+    }
+    let offer = (hire.kind.clone(), hire.zone.clone(), hire.spot);
+    {
+        let mut fleet = node.fleet.borrow_mut();
         if short {
-            tracing::info!(
-                kind = hire.kind,
-                zone = hire.zone,
-                spot = hire.spot,
-                status = r.status,
-                got = hire.machines.len(),
-                "no capacity"
-            );
-        }
-        let offer = (hire.kind.clone(), hire.zone.clone(), hire.spot);
-        {
-            let mut fleet = node.fleet.borrow_mut();
-            if short {
-                // As often refused, as much longer left alone.
-                let base = Duration::from_secs_f64(node.settings.deployment.cloud.list_lag_s);
-                let count = fleet.refused.get(&offer).map_or(0, |r| r.1);
-                let pause = base * 2u32.pow(count.min(2));
-                fleet
-                    .refused
-                    .insert(offer, (Instant::now() + pause, count + 1));
-            } else {
-                fleet.refused.remove(&offer);
-            }
-        }
-        let key = hire_key(&id);
-        let guards = vec![guard(key.clone(), version)];
-        let write = match hire.machines.is_empty() {
-            true => Write::Delete { key },
-            false => put(key, &hire),
-        };
-        if let Err(error) = node.commit(Class::Claim, guards, vec![write]).await {
-            // The next pass asks the cloud again and gets the same names.
-            tracing::debug!(%error, "rental not settled");
+            // As often refused, as much longer left alone.
+            let base = Duration::from_secs_f64(node.settings.deployment.cloud.list_lag_s);
+            let count = fleet.refused.get(&offer).map_or(0, |r| r.1);
+            let pause = base * 2u32.pow(count.min(2));
+            fleet
+                .refused
+                .insert(offer, (Instant::now() + pause, count + 1));
+        } else {
+            fleet.refused.remove(&offer);
         }
     }
+    let key = hire_key(id);
+    let guards = vec![guard(key.clone(), version)];
+    let write = match hire.machines.is_empty() {
+        true => Write::Delete { key },
+        false => put(key, &hire),
+    };
+    if let Err(error) = node.commit(Class::Claim, guards, vec![write]).await {
+        // The next pass asks the cloud again and gets the same names.
+        tracing::debug!(%error, "rental not settled");
+    }
 }
 
 /// Drops what has served its turn: rentals whose machines all have a record of
@@ -756,7 +828,7 @@
 
 /// Returns what is to go, and drops the records of what is gone.
 async fn finish_returns(node: &Node) {
-    let (returning, gone): (Vec<String>, Vec<(String, u64)>) = {
+    let (returning, gone): (Vec<String>, Vec<String>) = {
         let view = node.view.borrow();
         let returning = view
             .machines
@@ -769,7 +841,7 @@
             .machines
             .iter()
             .filter(|(id, m)| m.value.life == Life::Gone && !view.bookings.contains_key(*id))
-            .map(|(id, m)| (id.clone(), m.version))
+            .map(|(id, _)| id.clone())
             .take(node.settings.deployment.state.txn_ops)
             .collect();
         (returning, gone)
@@ -783,9 +855,18 @@
             && r.status == 200
         {
             let now = Instant::now();
-            for some in returning.chunks(node.settings.deployment.state.txn_ops) {
-                set_gone(node, some).await;
+            // Nothing is booked on most: their records go at once.
+            let (booked, empty): (Vec<_>, Vec<_>) = {
+                let view = node.view.borrow();
+                let booked = |id: &String| view.bookings.contains_key(id);
+                returning.iter().cloned().partition(booked)
+            };
+            let ops = node.settings.deployment.state.txn_ops;
+            for some in booked.chunks((ops / 2).max(1)) {
+                let lives: Vec<_> = some.iter().map(|id| (id.clone(), Life::Gone)).collect();
+                set_lives(node, &lives).await;
             }
+            drop_records(node, empty).await;
             let mut fleet = node.fleet.borrow_mut();
             for id in returning {
                 fleet.reports.remove(&id);
@@ -795,55 +876,45 @@
             }
         }
     }
-    if !gone.is_empty() {
-        let (guards, writes) = drop_gone(node, &gone);
-        if let Err(error) = node.commit(Class::Room, guards, writes).await {
-            tracing::debug!(%error, "records of gone machines stay");
-        }
-    }
+    drop_records(node, gone).await;
 }
 
-/// Records that the cloud has confirmed the return of these machines. None of
-/// them is in a part's record any more: `returning` has taken it out.
-async fn set_gone(node: &Node, ids: &[String]) {
-    let (guards, writes) = {
-        let view = node.view.borrow();
-        let returning = ids.iter().filter_map(|id| {
-            let entry = view.machines.get(id)?;
-            (entry.value.life == Life::Returning).then(|| {
-                let mut machine = entry.value.clone();
-                machine.life = Life::Gone;
-                (
-                    guard(machine_key(id), entry.version),
-                    put(machine_key(id), &machine),
-                )
-            })
-        });
-        let pairs: (Vec<Guard>, Vec<Write>) = returning.unzip();
-        pairs
-    };
-    if !writes.is_empty()
-        && let Err(error) = node.commit(Class::Claim, guards, writes).await
-    {
-        tracing::debug!(%error, "returns not recorded");
+/// Drops the records of machines that the cloud has taken back.
+async fn drop_records(node: &Node, ids: Vec<String>) {
+    for some in ids.chunks((node.settings.deployment.state.txn_ops / 2).max(1)) {
+        let (guards, writes) = drop_gone(node, some);
+        if !writes.is_empty()
+            && let Err(error) = node.commit(Class::Room, guards, writes).await
+        {
+            tracing::debug!(%error, "records of gone machines stay");
+            return;
+        }
     }
 }
 
 /// Drops the records of gone machines, and their names from the rental that
 /// may still list them: they would count as booting again.
-fn drop_gone(node: &Node, gone: &[(String, u64)]) -> (Vec<Guard>, Vec<Write>) {
+fn drop_gone(node: &Node, gone: &[String]) -> (Vec<Guard>, Vec<Write>) {
     let view = node.view.borrow();
     let ops = node.settings.deployment.state.txn_ops;
     let mut guards = Vec::new();
     let mut writes = Vec::new();
     let mut hires: BTreeMap<&String, Hire> = BTreeMap::new();
-    for (id, version) in gone {
+    for id in gone {
+        // Nothing was booked meanwhile: its part has lost it, and its record
+        // is guarded.
+        let Some(entry) = view.machines.get(id) else {
+            continue;
+        };
+        if view.bookings.contains_key(id) {
+            continue;
+        }
         let hire = hire_of(&view, id);
         let new = 1 + usize::from(hire.is_some_and(|(h, _)| !hires.contains_key(h)));
         if writes.len() + hires.len() + new > ops {
             break;
         }
-        guards.push(guard(machine_key(id), *version));
+        guards.push(guard(machine_key(id), entry.version));
         writes.push(Write::Delete {
             key: machine_key(id),
         });
@@ -1141,7 +1212,7 @@
     let settings = &node.settings;
     name_offers(node);
     let view = node.view.borrow();
-    let mut hires: BTreeMap<Offer, Hire> = BTreeMap::new();
+    let mut hires: BTreeMap<Offer, (usize, Hire)> = BTreeMap::new();
     if view.types.value.types.is_empty() {
         return Vec::new();
     }
@@ -1249,7 +1320,10 @@
             rent_one(&view, &mut hires, &mut plan, t, offer);
         }
     }
-    hires.into_values().take(most).collect()
+    // The first in the queue were asked for first.
+    let mut hires: Vec<(usize, Hire)> = hires.into_values().collect();
+    hires.sort_by_key(|h| h.0);
+    hires.into_iter().map(|h| h.1).take(most).collect()
 }
 
 /// Every offer is known as a class of machines before the plan counts on it.
@@ -1267,7 +1341,7 @@
 /// One more machine of an offer, with its room in the plan.
 fn rent_one(
     view: &View,
-    hires: &mut BTreeMap<Offer, Hire>,
+    hires: &mut BTreeMap<Offer, (usize, Hire)>,
     plan: &mut Plan,
     t: &MachineType,
     offer: Offer,
@@ -1276,14 +1350,18 @@
     if let Some(class) = view.find_class(&kind, &zone, spot) {
         plan.add(class, Room::of_type(t));
     }
-    let hire = hires.entry(offer).or_insert(Hire {
-        kind,
-        zone,
-        spot,
-        count: 0,
-        machines: Vec::new(),
-    });
-    hire.count += 1;
+    let place = hires.len();
+    let hire = hires.entry(offer).or_insert((
+        place,
+        Hire {
+            kind,
+            zone,
+            spot,
+            count: 0,
+            machines: Vec::new(),
+        },
+    ));
+    hire.1.count += 1;
 }
 
 fn running_cpus(view: &View) -> f64 {
@@ -1315,7 +1393,7 @@
 fn best_offer<'a>(
     node: &Node,
     view: &'a View,
-    hires: &BTreeMap<Offer, Hire>,
+    hires: &BTreeMap<Offer, (usize, Hire)>,
     spec: &Spec,
     wanted: usize,
     bounds: &Bounds,
@@ -1349,7 +1427,7 @@
                 let offer = (t.name.clone(), zone.clone(), spot);
                 let refused = fleet.refused.get(&offer);
                 if refused.is_some_and(|(until, _)| *until > now)
-                    || hires.get(&offer).is_some_and(|h| h.count >= RENT_MOST)
+                    || hires.get(&offer).is_some_and(|h| h.1.count >= RENT_MOST)
                 {
                     continue;
                 }
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -702,6 +702,7 @@
                         kind: machine.kind.clone(),
                         spot: machine.spot,
                         free,
+                        unbooked: Room::default(),
                     },
                 );
             }
@@ -1005,7 +1006,7 @@
             let (Some(report), Some(kind)) = (&hand.report, view.type_of(&m.kind)) else {
                 continue;
             };
-            let mut free = Room::of_type(kind) - view.booked_on(id);
+            let mut unbooked = Room::default();
             // Tasks that nobody has booked here take room until they are gone.
             for t in &report.tasks {
                 if let Some((job, n)) = split_task(&t.task)
@@ -1014,16 +1015,23 @@
                     && e.value.find(id, t.attempt, n).is_none()
                     && let Some(spec) = &e.value.spec
                 {
-                    free -= spec.need;
+                    unbooked += spec.need;
                 }
             }
             Some(Slot {
                 kind: m.kind.clone(),
                 spot: m.spot,
-                free,
+                free: Room::of_type(kind) - view.booked_on(id) - unbooked,
+                unbooked,
             })
         };
-        if known == slot.as_ref() {
+        // Room alone is no reason to write: bookings are known to all.
+        let same = match (known, &slot) {
+            (Some(a), Some(b)) => a.unbooked == b.unbooked,
+            (None, None) => true,
+            _ => false,
+        };
+        if same {
             continue;
         }
         let part = part_id(&m.zone, &m.part);
--- a/src/model.rs
+++ b/src/model.rs
@@ -51,12 +51,19 @@
         }
     }
 
+    pub fn is_empty(&self) -> bool {
+        *self == Room::default()
+    }
+
     pub fn fits(&self, need: &Room) -> bool {
         need.cpus <= self.cpus && need.gpus <= self.gpus && need.ram <= self.ram
     }
 
     pub fn times(&self, n: usize) -> Room {
-        let n = n as i64;
+        self.scaled(n as i64)
+    }
+
+    pub fn scaled(&self, n: i64) -> Room {
         Room {
             cpus: Amount(self.cpus.0.saturating_mul(n)),
             gpus: Amount(self.gpus.0.saturating_mul(n)),
@@ -597,8 +604,13 @@
     pub kind: String,
     #[serde(rename = "l", default, skip_serializing_if = "is_false")]
     pub spot: bool,
+    /// When the record was last written. What has ended since is free, too:
+    /// planning takes the type's room less the bookings that stand by then.
     #[serde(rename = "f")]
     pub free: Room,
+    /// What tasks take there that nobody has booked, as its holder reported.
+    #[serde(rename = "o", default, skip_serializing_if = "Room::is_empty")]
+    pub unbooked: Room,
 }
 
 /// `zone/Z/PART`: free room per machine that takes work. One record a zone
@@ -611,9 +623,9 @@
 }
 
 /// The most that a machine's slot can take of its part's record: its names,
-/// quotes and marks, and three amounts of up to nine digits.
+/// quotes and marks, and twice three amounts of up to nine digits.
 pub fn slot_bytes(machine: &str, kind: &str) -> usize {
-    machine.len() + kind.len() + 80
+    machine.len() + kind.len() + 130
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/node.rs
+++ b/src/node.rs
@@ -319,6 +319,7 @@
             tokio::task::spawn_local(crate::fleet::keep_types(self.clone())),
             tokio::task::spawn_local(crate::fleet::keep_leases(self.clone())),
             tokio::task::spawn_local(crate::fleet::keep_fleet(self.clone())),
+            tokio::task::spawn_local(crate::fleet::keep_renting(self.clone())),
             tokio::task::spawn_local(crate::api::keep_accepting(self.clone())),
         ];
         tracing::info!(node = self.name(), on = %self.settings.serve_on, "started");
--- a/src/store.rs
+++ b/src/store.rs
@@ -38,8 +38,9 @@
     }
 }
 
+/// What may be taken at a rate, with some to spare for a burst.
 #[derive(Debug, Clone, Copy)]
-struct Bucket {
+pub struct Bucket {
     rate: f64,
     burst: f64,
     level: f64,
@@ -47,7 +48,7 @@
 }
 
 impl Bucket {
-    fn new(rate: f64, burst: f64, now: Instant) -> Self {
+    pub fn new(rate: f64, burst: f64, now: Instant) -> Self {
         Bucket {
             rate,
             burst,
@@ -60,6 +61,17 @@
         self.level = (self.level + passed * self.rate).min(self.burst);
         self.at = now;
     }
+    /// Takes one, or says how long to wait.
+    pub fn take_one(&mut self, now: Instant) -> Result<(), Duration> {
+        self.refill(now);
+        match self.wait(1.0, 0.0) {
+            Some(wait) => Err(wait),
+            None => {
+                self.level -= 1.0;
+                Ok(())
+            }
+        }
+    }
     /// How long until `n` can be taken with `reserve` of the burst left over.
     fn wait(&self, n: f64, reserve: f64) -> Option<Duration> {
         // More than a burst can never be had at once: it may go into debt.
--- a/src/view.rs
+++ b/src/view.rs
@@ -120,6 +120,7 @@
     /// The number of its part's key among `View::part_names`.
     pub part: u32,
     pub class: u32,
+    /// In a plan: what is free. In the view: what unbooked tasks take.
     pub free: Room,
 }
 
@@ -143,6 +144,9 @@
     pub open: BTreeSet<(u64, String)>,
     /// Which jobs book something on a machine.
     pub bookings: HashMap<String, BTreeSet<String>>,
+    /// What bookings take of each machine, by its number, and of each team.
+    booked: HashMap<u32, Room>,
+    team_booked: HashMap<String, Room>,
     /// Removals of our own that the watch has not reached yet.
     removed: HashMap<String, u64>,
     /// Images that have been sent to a machine, the latest last. Memory only:
@@ -347,8 +351,27 @@
         }
     }
 
+    /// Counts what a job's runs take, or no longer take.
+    fn count(&mut self, job: &Option<Job>, sign: i64) {
+        let Some(job) = job else { return };
+        let Some(spec) = &job.spec else { return };
+        let mut all = 0;
+        for run in &job.runs {
+            all += run.tasks.len() as i64;
+            let room = spec.need.scaled(sign * run.tasks.len() as i64);
+            let number = self.machine_names.number(&run.machine);
+            *self.booked.entry(number).or_default() += room;
+        }
+        if all > 0 {
+            let used = self.team_booked.entry(spec.team.clone()).or_default();
+            *used += spec.need.scaled(sign * all);
+        }
+    }
+
     /// What else in the view follows from a job's runs.
     fn index_job(&mut self, id: &str, old: Option<Job>, job: &Option<Job>) {
+        self.count(&old, -1);
+        self.count(job, 1);
         let open = |job: &Option<Job>| job.as_ref().is_some_and(Job::is_open);
         // Whether a job runs may be all that has changed for its machines.
         let all = open(&old) != open(job);
@@ -437,7 +460,7 @@
                 machine: self.machine_names.number(&machine),
                 part,
                 class: self.class(&slot.kind, &zone, slot.spot),
-                free: slot.free,
+                free: slot.unbooked,
             })
             .collect();
         self.spots.insert(id.to_string(), spots);
@@ -499,15 +522,22 @@
 
     /// What the bookings on this machine take.
     pub fn booked_on(&self, machine: &str) -> Room {
-        let mut used = Room::default();
-        for (_, job) in self.jobs_on(machine) {
-            if let Some(spec) = &job.value.spec {
-                for run in job.value.runs.iter().filter(|r| r.machine == machine) {
-                    used += spec.need.times(run.tasks.len());
-                }
-            }
+        let number = self.machine_names.find(machine);
+        let booked = number.and_then(|n| self.booked.get(&n));
+        booked.copied().unwrap_or_default()
+    }
+
+    /// A machine that takes work, with its room as the bookings of this view
+    /// leave it. Whoever books more there writes its part, so that a commit
+    /// guarded by the part's version counts on no less than this.
+    pub fn with_room(&self, spot: &Spot) -> Spot {
+        let kind = self.class_type(&self.classes[spot.class as usize]);
+        let booked = self.booked.get(&spot.machine).copied().unwrap_or_default();
+        let room = kind.map_or(Room::default(), Room::of_type);
+        Spot {
+            free: room - booked - spot.free,
+            ..*spot
         }
-        used
     }
 
     pub fn type_of(&self, kind: &str) -> Option<&crate::wire::MachineType> {
@@ -534,10 +564,13 @@
     pub fn team_version(&self, team: &str) -> u64 {
         self.teams.get(team).map_or(0, |e| e.version)
     }
+    /// What the team's bookings take; as with a part, whoever books more
+    /// writes the team's record.
     pub fn team_used(&self, team: &str) -> Room {
-        self.teams
-            .get(team)
-            .map_or(Room::default(), |e| e.value.used)
+        self.team_booked.get(team).copied().unwrap_or_default()
+    }
+    pub fn teams_used(&self) -> &HashMap<String, Room> {
+        &self.team_booked
     }
     pub fn job_version(&self, id: &str) -> u64 {
         self.jobs.get(id).map_or(0, |e| e.version)
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -265,15 +265,15 @@
     let mut view = view_with_types();
     let mut parts: BTreeMap<&str, Part> = BTreeMap::new();
     for (zone, machine, cpus) in rooms {
-        let free = Room {
-            cpus: Amount::room(*cpus),
-            gpus: Amount(0),
-            ram: Amount::room(64.0),
-        };
+        let kind = format!("of-{cpus}");
+        if view.type_of(&kind).is_none() {
+            view.types.value.types.push(machine_type(&kind, *cpus, 0.0));
+        }
         let slot = Slot {
-            kind: "small".into(),
+            kind,
             spot: false,
-            free,
+            free: Room::default(),
+            unbooked: Room::default(),
         };
         let part = parts.entry(zone).or_default();
         part.machines.insert(machine.to_string(), slot);
