Who cannot stop a task does not renew its lease; claims of those who wait come first

Claims went in circles: a commit of 15 failed for one conflict, and moved workers waited 3 s and moved on. A beat that reports, or a view that books, what must end is answered only once the machine is claimed.

--- a/src/machines.rs
+++ b/src/machines.rs
@@ -28,6 +28,17 @@
     pub task: u32,
 }
 
+/// A claim that a beat has asked for.
+#[derive(Debug)]
+pub struct Claim {
+    done: watch::Sender<bool>,
+    /// When it was last asked for: a worker that has gone on to another
+    /// controller meanwhile is not to be drawn back.
+    asked: Instant,
+    /// The worker has to be told to stop something.
+    urgent: bool,
+}
+
 /// What this controller knows of a machine that it holds.
 #[derive(Debug)]
 pub struct Hand {
@@ -296,6 +307,22 @@
     part.rsplit_once('.').map_or("", |(home, _)| home)
 }
 
+/// Whether something on the machine has to end: its lease must not be renewed
+/// by one who cannot say so yet. A cancelled task would outlive `cancel_s` if
+/// its holder came back again and again before it could claim the machine.
+fn must_stop(report: &Report, view: &View) -> bool {
+    let ends = |job: &Job| !job.is_open();
+    let reported = report.tasks.iter().any(|t| {
+        let Some((id, n)) = split_task(&t.task) else {
+            return false;
+        };
+        let job = view.jobs.get(id).map(|e| &e.value);
+        t.stage != TaskStage::Ended
+            && job.is_none_or(|j| ends(j) || j.find(&report.machine, t.attempt, n).is_none())
+    });
+    reported || view.jobs_on(&report.machine).any(|(_, e)| ends(&e.value))
+}
+
 impl Node {
     /// The wait after which an order that has shown no effect is repeated.
     fn repeat(&self) -> Duration {
@@ -377,6 +404,7 @@
         if home == self.name() {
             return None;
         }
+        // While machines wait to be claimed none is moved that has a holder.
         let ours = self.settings.zone == report.zone;
         let pause = self.settings.lease() * 3;
         let mut fleet = self.fleet.borrow_mut();
@@ -387,9 +415,11 @@
         // One that nobody holds yet costs no more there than here.
         let free = machine.is_none_or(|m| m.holder.is_empty());
         if !free {
-            let gap = self.request_gap() * if ours { 16 } else { 4 };
+            let gap = self.request_gap() * if ours { 64 } else { 16 };
             let last = fleet.last_sent_home;
-            if last.is_some_and(|t| now.saturating_duration_since(t) < gap) {
+            if !self.claims.borrow().is_empty()
+                || last.is_some_and(|t| now.saturating_duration_since(t) < gap)
+            {
                 return None;
             }
             fleet.last_sent_home = Some(now);
@@ -468,11 +498,12 @@
             // We held it until another controller claimed it.
             return self.redirect(Some(&m.value));
         }
-        if ours && !self.holds(&id) {
+        let must_stop = ours && !self.holds(&id) && must_stop(&report, &self.view.borrow());
+        if ours && !self.holds(&id) && !must_stop {
             // Held by an earlier run of this process: its token still renews
             // the lease while the new claim is being committed. No orders.
             let token = known.map_or(0, |m| m.value.token);
-            self.ask_claim(&id, &report);
+            self.ask_claim(&id, &report, false);
             return Response::json(
                 200,
                 &BeatAnswer {
@@ -489,7 +520,7 @@
             if report.token == 0 && known.is_none_or(|m| m.value.token == 0) {
                 // Nobody has ever held it, so nobody can wait for its lease to
                 // run out: it stays here until it is claimed.
-                self.ask_claim(&id, &report);
+                self.ask_claim(&id, &report, false);
                 let orders = vec![];
                 return Response::json(200, &BeatAnswer { token: 0, orders });
             }
@@ -550,21 +581,25 @@
         }
     }
 
-    fn ask_claim(&self, id: &str, report: &Report) -> watch::Receiver<bool> {
+    fn ask_claim(&self, id: &str, report: &Report, urgent: bool) -> watch::Receiver<bool> {
         self.fleet.borrow_mut().remember(report);
-        let receiver = self
-            .claims
-            .borrow_mut()
-            .entry(id.to_string())
-            .or_insert_with(|| watch::Sender::new(false))
-            .subscribe();
+        let asked = Instant::now();
+        let mut claims = self.claims.borrow_mut();
+        let claim = claims.entry(id.to_string()).or_insert_with(|| Claim {
+            done: watch::Sender::new(false),
+            asked,
+            urgent,
+        });
+        claim.asked = asked;
+        claim.urgent |= urgent;
+        let receiver = claim.done.subscribe();
         self.claims_wanted.notify_one();
         receiver
     }
 
     /// Claims the machine and waits for the commit.
     async fn claim(&self, id: &str, report: &Report) -> bool {
-        let mut done = self.ask_claim(id, report);
+        let mut done = self.ask_claim(id, report, true);
         // A worker drops an answer that takes 4 s; a beat that cannot be
         // claimed soon is refused while that still helps it.
         let limit = Duration::from_secs_f64(3.2);
@@ -647,7 +682,19 @@
         let view = node.view.borrow();
         let fleet = node.fleet.borrow();
         let mut records: BTreeMap<String, Part> = BTreeMap::new();
-        for id in node.claims.borrow().keys() {
+        let mut claims = node.claims.borrow_mut();
+        let now = Instant::now();
+        // A worker reports again, or has gone on, within this time.
+        let fresh = node.settings.report() * 2;
+        claims.retain(|id, claim| {
+            let known = view.machines.get(id).map(|e| &e.value);
+            let ours = known.is_none_or(|m| m.holder.is_empty() || m.holder == node.name());
+            ours || now.saturating_duration_since(claim.asked) < fresh
+        });
+        let mut order: Vec<(&String, &Claim)> = claims.iter().collect();
+        // Those whose workers wait for the answer come first.
+        order.sort_by_key(|(_, c)| (!c.urgent, c.done.is_closed()));
+        for (id, _) in order {
             // A claim writes a machine and perhaps a part that is new to it.
             if taken.len() + records.len() + 2 > ops {
                 break;
@@ -719,6 +766,16 @@
                 if matches!(e, StoreError::Conflict(_) | StoreError::NoAnswer(_)) {
                     node.barrier(node.settings.lease() / 8).await;
                 }
+                if let StoreError::Conflict(keys) = &e {
+                    // Another was quicker. If the worker is here all the same,
+                    // its next report asks again; the others do not wait.
+                    let mut claims = node.claims.borrow_mut();
+                    for id in &wanted {
+                        if keys.contains(&machine_key(id)) {
+                            claims.remove(id);
+                        }
+                    }
+                }
                 // An unanswered claim may have happened: then the view shows
                 // a token that is ours by name but not in hand, and the next
                 // try bumps it once more.
@@ -734,8 +791,8 @@
         }
     }
     for id in &wanted {
-        if let Some(done) = node.claims.borrow_mut().remove(id) {
-            done.send_replace(true);
+        if let Some(claim) = node.claims.borrow_mut().remove(id) {
+            claim.done.send_replace(true);
         }
         // The worker learns the token now, and its report under it is what
         // launches wait for.
@@ -875,7 +932,7 @@
             if hand.unresolved
                 && let Some(report) = node.known_report(&id)
             {
-                node.ask_claim(&id, &report);
+                node.ask_claim(&id, &report, true);
             }
         }
     }
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -21,6 +21,8 @@
     pub horizon_ms: Option<u64>,
     /// How many machines report to it.
     pub machines: u32,
+    /// What it would write to the state service, a second.
+    pub writes: f64,
     /// Offers that the cloud has refused it of late.
     pub refused: Vec<String>,
 }
@@ -36,6 +38,7 @@
     pub incarnation: u64,
     pub horizon_ms: Option<u64>,
     pub machines: u32,
+    pub writes: f64,
     pub refused: Vec<String>,
 }
 
@@ -55,6 +58,7 @@
                 incarnation: gossip.incarnation,
                 horizon_ms: gossip.horizon_ms,
                 machines: gossip.machines,
+                writes: gossip.writes.clamp(0.0, 1e6),
                 refused: gossip.refused,
             },
         );
@@ -80,6 +84,16 @@
         names
     }
 
+    /// What the other controllers would write a second; nothing for those that
+    /// have not been heard of late.
+    pub fn demands(&self, node: &Node, now: Instant) -> Vec<Option<f64>> {
+        let fresh: HashMap<&str, f64> = self.fresh(node, now).map(|(n, p)| (n, p.writes)).collect();
+        let others = node.settings.others.iter();
+        others
+            .map(|p| fresh.get(p.name.as_str()).copied())
+            .collect()
+    }
+
     /// What the cloud has refused the others.
     pub fn refused(&self, node: &Node, now: Instant) -> Vec<String> {
         self.fresh(node, now)
@@ -149,6 +163,17 @@
     }
 }
 
+/// Divides the state service's writes by what each controller would write.
+pub async fn keep_share(node: Rc<Node>) {
+    let total = node.settings.deployment.state.write_rps * 0.97;
+    loop {
+        sleep(interval(&node)).await;
+        let others = node.peers.borrow().demands(&node, Instant::now());
+        let share = crate::store::write_share(total, node.store.demand(), &others);
+        node.store.set_share(share);
+    }
+}
+
 pub async fn speak(node: Rc<Node>) {
     for peer in node.settings.others.clone() {
         let node = node.clone();
@@ -188,6 +213,7 @@
         incarnation: node.incarnation,
         horizon_ms: node.horizon_age().map(|a| a.as_millis() as u64),
         machines: node.hands.borrow().len() as u32,
+        writes: node.store.demand(),
         refused: node.fleet.borrow().refused_now(Instant::now()),
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,7 +15,7 @@
 use crate::api::Arrival;
 use crate::fleet::FleetState;
 use crate::http::Client;
-use crate::machines::{EndKey, Hand};
+use crate::machines::{Claim, EndKey, Hand};
 use crate::mesh::Peers;
 use crate::model::Outcome;
 use crate::net::Net;
@@ -54,7 +54,7 @@
     /// Submissions that wait to be accepted.
     pub arrivals: RefCell<VecDeque<Arrival>>,
     pub arrivals_wanted: Notify,
-    pub claims: RefCell<BTreeMap<String, watch::Sender<bool>>>,
+    pub claims: RefCell<BTreeMap<String, Claim>>,
     pub claims_wanted: Notify,
     pub peers: RefCell<Peers>,
     pub fleet: RefCell<FleetState>,
@@ -312,6 +312,7 @@
             tokio::task::spawn_local(crate::api::serve(self.clone(), users)),
             tokio::task::spawn_local(crate::mesh::listen(self.clone(), mesh)),
             tokio::task::spawn_local(crate::mesh::speak(self.clone())),
+            tokio::task::spawn_local(crate::mesh::keep_share(self.clone())),
             tokio::task::spawn_local(crate::machines::keep_claims(self.clone())),
             tokio::task::spawn_local(crate::machines::keep_orders(self.clone())),
             tokio::task::spawn_local(crate::machines::keep_rooms(self.clone())),
--- a/src/store.rs
+++ b/src/store.rs
@@ -81,6 +81,41 @@
     }
 }
 
+/// How much this controller would write: what it has written of late, and more
+/// the longer it had to wait for its budget.
+#[derive(Debug, Default, Clone, Copy)]
+struct Demand {
+    written: f64,
+    waited: f64,
+    at: Option<Instant>,
+}
+
+impl Demand {
+    /// The span over which demand is averaged, in seconds.
+    const SPAN: f64 = 4.0;
+
+    fn note(&mut self, written: f64, waited: f64, now: Instant) {
+        let passed = self
+            .at
+            .map_or(0.0, |t| now.saturating_duration_since(t).as_secs_f64());
+        let kept = (-passed / Self::SPAN).exp();
+        self.written = self.written * kept + written / Self::SPAN;
+        self.waited = (self.waited * kept + waited / Self::SPAN).min(1.0);
+        self.at = Some(now);
+    }
+}
+
+/// This controller's part of what all may write together, by what each would;
+/// `others` holds what is known of the others, nothing for those not heard of.
+/// Each keeps some, to begin with, and none is given more than it could use.
+pub fn write_share(total: f64, mine: f64, others: &[Option<f64>]) -> f64 {
+    let even = total / (others.len() + 1) as f64;
+    let least = even / 4.0;
+    let all: f64 = others.iter().map(|d| d.map_or(even, |d| d + least)).sum();
+    let share = total * (mine + least) / (all + mine + least);
+    share.clamp(least, even * 3.0)
+}
+
 /// The budget of requests and of written keys; pure but for the clock.
 #[derive(Debug)]
 pub struct Budget {
@@ -119,6 +154,13 @@
         }
     }
 
+    /// A new share of what all controllers may write together.
+    pub fn share(&mut self, write_rps: f64, now: Instant) {
+        self.writes.refill(now);
+        self.writes.rate = write_rps;
+        self.writes.burst = write_rps;
+    }
+
     /// What a refused request was to write was not written.
     pub fn give_back(&mut self, writes: usize) {
         self.writes.level = (self.writes.level + writes as f64).min(self.writes.burst);
@@ -164,6 +206,7 @@
     rng: RefCell<SmallRng>,
     /// How long an answer may take before it counts as none.
     patience: Duration,
+    demand: Cell<Demand>,
     /// When the service last answered anything but a refusal.
     heard: Cell<Option<Instant>>,
     /// 429 makes everything but acceptance wait until then.
@@ -184,6 +227,7 @@
             budget: RefCell::new(budget),
             rng: RefCell::new(rng),
             patience,
+            demand: Cell::default(),
             heard: Cell::new(None),
             pause: Cell::new(None),
         }
@@ -199,6 +243,24 @@
         base.mul_f64(self.rng.borrow_mut().random_range(0.5..1.5))
     }
 
+    fn note_demand(&self, written: usize, waited: Duration) {
+        let mut demand = self.demand.get();
+        demand.note(written as f64, waited.as_secs_f64(), Instant::now());
+        self.demand.set(demand);
+    }
+
+    /// What this controller would write in a second, for the others to know.
+    pub fn demand(&self) -> f64 {
+        self.note_demand(0, Duration::ZERO);
+        let demand = self.demand.get();
+        demand.written * (1.0 + demand.waited)
+    }
+
+    /// Sets this controller's share of the writes.
+    pub fn set_share(&self, write_rps: f64) {
+        self.budget.borrow_mut().share(write_rps, Instant::now());
+    }
+
     /// Waits until the budget has `writes` written keys for this class, and
     /// takes nothing: for those who decide late, on what they know by then.
     pub async fn ready(&self, class: Class, writes: usize) {
@@ -211,6 +273,7 @@
                     None => return,
                 },
             };
+            self.note_demand(0, wait);
             sleep(wait.max(Duration::from_millis(1))).await;
         }
     }
@@ -228,13 +291,21 @@
             let taken = match class {
                 Class::Round => {
                     self.budget.borrow_mut().force(writes);
-                    return;
+                    Ok(())
                 }
                 _ => self.budget.borrow_mut().take(class, writes, now),
             };
             match taken {
-                Ok(()) => return,
-                Err(wait) => sleep(wait.max(Duration::from_millis(1))).await,
+                Ok(()) => {
+                    self.note_demand(writes, Duration::ZERO);
+                    return;
+                }
+                Err(wait) => {
+                    if writes > 0 {
+                        self.note_demand(0, wait);
+                    }
+                    sleep(wait.max(Duration::from_millis(1))).await;
+                }
             }
         }
     }
