--- a/src/api.rs
+++ b/src/api.rs
@@ -258,11 +258,15 @@
 /// Accepts submissions, as many at once as have gathered while the budget or
 /// the last commit was waited for: a rush costs few writes.
 pub async fn keep_accepting(node: Rc<Node>) {
+    // The first does not wait; those behind it gather for a moment.
+    let gather = node.request_gap() * 4;
     loop {
         node.arrivals_wanted.notified().await;
         while !node.arrivals.borrow().is_empty() {
             node.store.ready(Class::Accept, 1).await;
+            let begun = Instant::now();
             accept_some(&node).await;
+            tokio::time::sleep(gather.saturating_sub(begun.elapsed())).await;
         }
     }
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -517,7 +517,7 @@
         guards.push(guard(hire_key(&id), 0));
         writes.push(put(hire_key(&id), &hire));
     }
-    match node.commit(Class::Claim, guards, writes).await {
+    match node.commit(Class::Lease, guards, writes).await {
         Ok(_) => resolve_hires(node),
         Err(error) => tracing::debug!(%error, "rental not recorded"),
     }
@@ -721,7 +721,7 @@
         true => Write::Delete { key },
         false => put(key, &hire),
     };
-    if let Err(error) = node.commit(Class::Claim, guards, vec![write]).await {
+    if let Err(error) = node.commit(Class::Lease, guards, vec![write]).await {
         // The next pass asks the cloud again and gets the same names.
         tracing::debug!(%error, "rental not settled");
     }
--- a/src/store.rs
+++ b/src/store.rs
@@ -26,6 +26,8 @@
     Room,
 }
 
+const CLASSES: usize = 5;
+
 impl Class {
     /// The share of a full burst that this class must leave for those before.
     fn reserve(self) -> f64 {
@@ -73,9 +75,10 @@
         }
     }
     /// How long until `n` can be taken with `reserve` of the burst left over.
+    /// Half a burst is enough for the largest: it goes into debt, as what
+    /// waits for more would wait behind all that is small.
     fn wait(&self, n: f64, reserve: f64) -> Option<Duration> {
-        // More than a burst can never be had at once: it may go into debt.
-        let need = n.min(self.burst * (1.0 - reserve)) + self.burst * reserve;
+        let need = n.min(self.burst * 0.5) + self.burst * reserve;
         let short = need - self.level;
         (short > 1e-9).then(|| Duration::from_secs_f64(short / self.rate))
     }
@@ -143,17 +146,6 @@
         wait.max(self.writes.wait(writes as f64, reserve))
     }
 
-    /// Takes one request with `writes` written keys, or says how long to wait.
-    pub fn take(&mut self, class: Class, writes: usize, now: Instant) -> Result<(), Duration> {
-        match self.wait(class, writes, now) {
-            Some(w) => Err(w),
-            None => {
-                self.force(writes);
-                Ok(())
-            }
-        }
-    }
-
     /// A new share of what all controllers may write together.
     pub fn share(&mut self, write_rps: f64, now: Instant) {
         self.writes.refill(now);
@@ -199,7 +191,30 @@
     }
 }
 
+/// Counts among those that wait to write, for as long as it lives.
+struct Turn<'a> {
+    waiting: &'a RefCell<[usize; CLASSES]>,
+    class: Class,
+}
+
+impl<'a> Turn<'a> {
+    fn new(waiting: &'a RefCell<[usize; CLASSES]>, class: Class) -> Self {
+        waiting.borrow_mut()[class as usize] += 1;
+        Turn { waiting, class }
+    }
+}
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        self.waiting.borrow_mut()[self.class as usize] -= 1;
+    }
+}
+
 pub struct Store {
+    /// How many of each class wait to write.
+    waiting: RefCell<[usize; CLASSES]>,
+    /// Which class wrote last.
+    last: Cell<Option<Class>>,
     client: Rc<Client>,
     addr: SocketAddrV4,
     budget: RefCell<Budget>,
@@ -222,6 +237,8 @@
         rng: SmallRng,
     ) -> Self {
         Store {
+            waiting: RefCell::default(),
+            last: Cell::new(None),
             client,
             addr,
             budget: RefCell::new(budget),
@@ -264,49 +281,65 @@
     /// Waits until the budget has `writes` written keys for this class, and
     /// takes nothing: for those who decide late, on what they know by then.
     pub async fn ready(&self, class: Class, writes: usize) {
-        loop {
-            let now = Instant::now();
-            let wait = match self.pause.get() {
-                Some(until) if until > now => until - now,
-                _ => match self.budget.borrow_mut().wait(class, writes, now) {
-                    Some(wait) => wait,
-                    None => return,
-                },
-            };
-            self.note_demand(0, wait);
-            sleep(wait.max(Duration::from_millis(1))).await;
-        }
+        self.wait_turn(class, writes, false).await;
     }
 
     async fn admit(&self, class: Class, writes: usize) {
+        if class == Class::Round {
+            self.budget.borrow_mut().force(writes);
+        } else {
+            self.wait_turn(class, writes, true).await;
+        }
+        if writes > 0 {
+            self.note_demand(writes, Duration::ZERO);
+            self.last.set(Some(class));
+        }
+    }
+
+    /// Waits for the budget and for those that go first.
+    async fn wait_turn(&self, class: Class, writes: usize, take: bool) {
+        let _turn = (writes > 0).then(|| Turn::new(&self.waiting, class));
         loop {
             let now = Instant::now();
-            if class > Class::Lease
-                && let Some(until) = self.pause.get()
-                && until > now
-            {
-                tokio::time::sleep_until(until).await;
-                continue;
-            }
-            let taken = match class {
-                Class::Round => {
-                    self.budget.borrow_mut().force(writes);
-                    Ok(())
-                }
-                _ => self.budget.borrow_mut().take(class, writes, now),
-            };
-            match taken {
-                Ok(()) => {
-                    self.note_demand(writes, Duration::ZERO);
-                    return;
-                }
-                Err(wait) => {
-                    if writes > 0 {
-                        self.note_demand(0, wait);
+            let pause = self
+                .pause
+                .get()
+                .filter(|t| class > Class::Lease && *t > now);
+            let wait = match pause {
+                Some(until) => until - now,
+                None if writes > 0 && self.others_first(class) => self.patience / 50,
+                None => {
+                    let mut budget = self.budget.borrow_mut();
+                    match budget.wait(class, writes, now) {
+                        Some(wait) => wait,
+                        None => {
+                            if take {
+                                budget.force(writes);
+                            }
+                            return;
+                        }
                     }
-                    sleep(wait.max(Duration::from_millis(1))).await;
                 }
+            };
+            if writes > 0 {
+                self.note_demand(0, wait);
+            }
+            sleep(wait.max(Duration::from_millis(1))).await;
+        }
+    }
+
+    /// Whether a class before this one waits to write. Claims and rounds take
+    /// turns: neither may hold up the other for long.
+    fn others_first(&self, class: Class) -> bool {
+        let waiting = self.waiting.borrow();
+        let waits = |c: Class| waiting[c as usize] > 0;
+        let just = self.last.get();
+        match class {
+            Class::Claim if just == Some(Class::Claim) && waits(Class::Round) => true,
+            Class::Round if just == Some(Class::Claim) => {
+                waits(Class::Accept) || waits(Class::Lease)
             }
+            _ => waiting[..class as usize].iter().any(|n| *n > 0),
         }
     }
 
