--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -346,7 +346,7 @@
     if writes.is_empty() {
         return changed;
     }
-    if let Err(error) = node.commit(Class::Claim, guards, writes).await {
+    if let Err(error) = node.commit(Class::Life, guards, writes).await {
         tracing::debug!(?lives, %error, "lives not changed");
         changed.clear();
     }
@@ -368,7 +368,7 @@
         }
         let (guards, writes) = stops_for_drain(node, &id);
         if !writes.is_empty()
-            && let Err(error) = node.commit(Class::Claim, guards, writes).await
+            && let Err(error) = node.commit(Class::Life, guards, writes).await
         {
             tracing::debug!(machine = id, %error, "drain not committed");
         }
@@ -806,7 +806,7 @@
             vec![put(machine_key(id), &record)],
         )
     };
-    match node.commit(Class::Claim, guards, writes).await {
+    match node.commit(Class::Life, guards, writes).await {
         Ok(_) => tracing::info!(machine = id, "never came up: goes back"),
         Err(error) => tracing::debug!(machine = id, %error, "not given up"),
     }
@@ -1001,7 +1001,7 @@
         }
     }
     if !writes.is_empty()
-        && let Err(error) = node.commit(Class::Claim, guards, writes).await
+        && let Err(error) = node.commit(Class::Life, guards, writes).await
     {
         tracing::debug!(%error, "listed machines not adopted");
     }
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -615,6 +615,8 @@
         // Workers turn up together after a restart: let a few gather.
         sleep(node.request_gap() / 4).await;
         while !node.claims.borrow().is_empty() {
+            let some = node.claims.borrow().len();
+            node.store.ready(Class::Claim, some).await;
             if let Err(error) = claim_some(&node).await {
                 tracing::debug!(%error, "claims not committed");
                 sleep(node.store.jitter(node.request_gap() * 2)).await;
--- a/src/node.rs
+++ b/src/node.rs
@@ -220,7 +220,7 @@
 
     /// Keeps the view: a full read, then one watch after another.
     pub async fn keep_view(self: Rc<Self>) {
-        let gap = self.request_gap() * 3;
+        let gap = self.request_gap() * 2;
         let block = self.settings.lease() / 4;
         loop {
             if !self.view.borrow().loaded {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -15,6 +15,7 @@
 use crate::machines::{self, EndKey};
 use crate::model::{Job, Spec};
 use crate::node::Node;
+use crate::settings::Settings;
 use crate::store::{Class, StoreError};
 use crate::view::View;
 use crate::wire::{Guard, Kind, Write};
@@ -37,6 +38,24 @@
     })
 }
 
+/// The controller that places a job first. With teams enough to go round it is
+/// the same for all of a team: its record is then written by one, and jobs
+/// that are placed together share that write.
+pub fn placer<'a>(
+    settings: &Settings,
+    job: &str,
+    team: &str,
+    alive: impl Iterator<Item = &'a str>,
+) -> Option<&'a str> {
+    let d = &settings.deployment;
+    let key = if d.teams.len() >= d.count * 2 {
+        team
+    } else {
+        job
+    };
+    preferred(key, alive)
+}
+
 /// How long a job that failed so often waits before it is tried again.
 pub fn back_off(errors: u32, base: Duration) -> Duration {
     match errors {
@@ -169,7 +188,8 @@
                 continue;
             }
         }
-        let preferred = preferred(id, alive.iter().copied());
+        let team = entry.value.spec.as_ref().map_or("", |s| &s.team);
+        let preferred = placer(&node.settings, id, team, alive.iter().copied());
         if preferred == Some(node.name()) || now.saturating_duration_since(seen.1) > step_in {
             ids.push(id.clone());
         }
@@ -275,7 +295,10 @@
         let own = mine.contains(id);
         let home = match own {
             true => node.name(),
-            false => preferred(id, alive.iter().map(String::as_str)).unwrap_or(""),
+            false => {
+                let alive = alive.iter().map(String::as_str);
+                placer(settings, id, &spec.team, alive).unwrap_or("")
+            }
         };
         let hints = Hints { view: &view, home };
         let places = match search.place(node, &hints, &plan, id, job, &spec) {
--- a/src/store.rs
+++ b/src/store.rs
@@ -19,14 +19,15 @@
 pub enum Class {
     Accept,
     Lease,
+    /// Claims and rounds wait with `Store::ready` before they decide, then go
+    /// at once, into debt if need be: a commit that waits goes stale.
     Claim,
-    /// Rounds of decisions. They wait with `Store::ready` before they decide,
-    /// then go at once, into debt if need be: what waits goes stale.
     Round,
+    Life,
     Room,
 }
 
-const CLASSES: usize = 5;
+const CLASSES: usize = 6;
 
 impl Class {
     /// The share of a full burst that this class must leave for those before.
@@ -35,6 +36,7 @@
             Class::Accept | Class::Lease => 0.0,
             Class::Claim => 0.05,
             Class::Round => 0.1,
+            Class::Life => 0.2,
             Class::Room => 0.3,
         }
     }
@@ -285,7 +287,7 @@
     }
 
     async fn admit(&self, class: Class, writes: usize) {
-        if class == Class::Round {
+        if matches!(class, Class::Round | Class::Claim) {
             self.budget.borrow_mut().force(writes);
         } else {
             self.wait_turn(class, writes, true).await;
