--- a/src/store.rs
+++ b/src/store.rs
@@ -30,10 +30,14 @@
 const CLASSES: usize = 6;
 
 impl Class {
-    /// The share of a full burst that this class must leave for those before.
+    /// The share of a full burst that this class must leave for those before;
+    /// below nothing, how far into debt it may go.
     fn reserve(self) -> f64 {
         match self {
-            Class::Accept | Class::Lease => 0.0,
+            // Few, and somebody waits: they may take what the larger ones are
+            // to leave in the seconds that follow.
+            Class::Accept => -3.0,
+            Class::Lease => -2.0,
             Class::Claim => 0.05,
             Class::Round => 0.1,
             Class::Life => 0.2,
