--- a/src/admission.rs
+++ b/src/admission.rs
@@ -5,7 +5,7 @@
 //! preferred one relaxes upward and is finally admitted spread.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
 use std::rc::Rc;
 
 use serde::Serialize;
@@ -170,6 +170,18 @@
     /// The controller that plans: between machines that are as good, those of
     /// its own parts, where its commits meet no others.
     pub home: &'a str,
+    /// Parts that the commit in the making writes anyway come before those.
+    pub touched: BTreeSet<String>,
+}
+
+impl<'a> Hints<'a> {
+    pub fn new(view: &'a View, home: &'a str) -> Self {
+        Hints {
+            view,
+            home,
+            touched: BTreeSet::new(),
+        }
+    }
 }
 
 /// How far work without accelerators may stand in their way.
@@ -207,8 +219,9 @@
     hints: &'a Hints<'a>,
     care: Care,
     gates: Vec<Gate>,
-    /// By part number: the parts of this controller.
-    own: Vec<bool>,
+    /// By part number: how much its part adds to the commit. Places that are as
+    /// good are taken from few parts, as each is a record to write.
+    far: Vec<i64>,
     image: Option<u32>,
 }
 
@@ -229,14 +242,20 @@
                 zone: class.zone_at,
             }
         });
-        let own = (0..view.part_names.len() as u32).map(|n| {
+        let far = (0..view.part_names.len() as u32).map(|n| {
             let name = view.part_names.name(n);
             let part = name.split_once('/').map_or("", |p| p.1);
-            crate::machines::home_of(part) == hints.home
+            let own = crate::machines::home_of(part) == hints.home;
+            let touched = hints.touched.contains(&*name);
+            match (touched, own) {
+                (true, _) => 0,
+                (_, true) => 1,
+                _ => 2 + i64::from(n),
+            }
         });
         Field {
             gates: gates.collect(),
-            own: own.collect(),
+            far: far.collect(),
             spec,
             hints,
             care,
@@ -293,16 +312,20 @@
             _ => 0,
         };
         let no_image = i64::from(!view.has_image(spot.machine, self.image));
-        let foreign = i64::from(!self.own.get(spot.part as usize).copied().unwrap_or(false));
+        let far = self
+            .far
+            .get(spot.part as usize)
+            .copied()
+            .unwrap_or(i64::MAX);
         let quick = spec.kind == Kind::Service;
         // A service stays for long and would keep a costly machine rented.
         let pins = i64::from(quick && gate.gpus.0 > 0 && spec.need.gpus.0 == 0);
         let (third, fourth, fifth) = match spec.kind {
-            Kind::Service => (no_image, gate.costly, 0),
+            Kind::Service => (no_image, gate.costly, far),
             // Their ends come often: where they are this controller's own,
             // nobody else writes the records.
-            Kind::Array => (gate.costly, foreign, no_image),
-            Kind::Gang => (gate.costly, no_image, foreign),
+            Kind::Array => (gate.costly, far, no_image),
+            Kind::Gang => (gate.costly, no_image, far),
         };
         [
             self.loss(spot),
@@ -335,7 +358,7 @@
         let mut heaps: Vec<BinaryHeap<_>> = heaps.into_iter().map(BinaryHeap::from).collect();
         let mut caps = caps.to_vec();
         let mut in_zone = vec![0i64; caps.len()];
-        let mut sum = [0; 8];
+        let mut sum: Score = [0; 8];
         let mut places = Vec::new();
         while places.len() < most {
             let best = (0..heaps.len())
@@ -358,7 +381,7 @@
             // but for replicas.
             loop {
                 for (s, r) in sum.iter_mut().zip(score) {
-                    *s += r;
+                    *s = s.saturating_add(r);
                 }
                 places.push(at);
                 spot.free -= self.spec.need;
--- a/src/draft.rs
+++ b/src/draft.rs
@@ -62,6 +62,11 @@
         self.len() == 0
     }
 
+    /// The parts that it writes.
+    pub fn parts(&self) -> BTreeSet<String> {
+        self.parts.keys().cloned().collect()
+    }
+
     /// A job as this draft has it.
     pub fn job(&self, id: &str) -> Option<&Job> {
         let known = || self.view.jobs.get(id).map(|e| &e.value);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -47,6 +47,8 @@
     refused: HashMap<Offer, (Instant, u32)>,
     empty_since: HashMap<String, Instant>,
     first_seen: HashMap<String, Instant>,
+    /// Since when the cloud lists machines that have no record.
+    listed: HashMap<String, Instant>,
     /// Machines confirmed gone: a late list may still name them.
     gone: HashMap<String, Instant>,
     lease: Option<u64>,
@@ -63,6 +65,15 @@
 }
 
 impl FleetState {
+    /// Whether a listed machine without a record has been one for so long.
+    fn unheard(&mut self, id: &str, limit: Duration) -> bool {
+        let first = self
+            .listed
+            .entry(id.to_string())
+            .or_insert_with(Instant::now);
+        first.elapsed() > limit
+    }
+
     pub fn remember(&mut self, report: &Report) {
         let mut kept = report.clone();
         kept.tasks = Vec::new();
@@ -561,7 +572,7 @@
     let plan = Plan::of(&view);
     // Places that stay for work on accelerators: two of its usual jobs'.
     let home = node.name();
-    let hints = Hints { view: &view, home };
+    let hints = Hints::new(&view, home);
     let mut best: Option<(f64, &String, Vec<&str>)> = None;
     for (id, entry) in &view.machines {
         let m = &entry.value;
@@ -937,6 +948,7 @@
 /// Reads the cloud's list: adopts what nobody knows, gives up what failed.
 async fn read_list(node: &Node) {
     let lag = Duration::from_secs_f64(node.settings.deployment.cloud.list_lag_s);
+    let orphaned = node.settings.lease() * 2;
     let due = node
         .fleet
         .borrow()
@@ -976,6 +988,7 @@
         let unnamed = view.hires.values().any(|e| e.value.machines.is_empty());
         let mut fleet = node.fleet.borrow_mut();
         fleet.gone.retain(|_, t| t.elapsed() < lag * 6);
+        fleet.listed.retain(|id, _| !view.machines.contains_key(id));
         for m in &all {
             match view.machines.get(&m.id) {
                 Some(known) => {
@@ -991,6 +1004,9 @@
                 }
                 // The answer to a rental that is under way will name it.
                 None if unnamed => {}
+                // One that runs reports soon, and is claimed with a record of
+                // its own: only one that nobody hears of is taken up here.
+                None if !fleet.unheard(&m.id, orphaned) => {}
                 None => {
                     let record = new_machine(&m.kind, &m.zone, m.spot);
                     tracing::info!(machine = m.id, "found in the cloud's list");
@@ -1219,7 +1235,7 @@
     let mut plan = Plan::of(&view);
     add_coming(&mut plan, &view);
     let home = "";
-    let hints = Hints { view: &view, home };
+    let hints = Hints::new(&view, home);
     // The work that running independent tasks leave room for soon.
     let mut turnover = running_cpus(&view);
     let now = Instant::now();
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -300,7 +300,10 @@
                 placer(settings, id, &spec.team, alive).unwrap_or("")
             }
         };
-        let hints = Hints { view: &view, home };
+        let mut hints = Hints::new(&view, home);
+        if own {
+            hints.touched = draft.parts();
+        }
         let places = match search.place(node, &hints, &plan, id, job, &spec) {
             Ok(places) => places,
             Err(why) => {
@@ -506,7 +509,7 @@
     // job that it will serve.
     let mut coming = search.coming(&view, plan).clone();
     let home = node.name();
-    let hints = Hints { view: &view, home };
+    let hints = Hints::new(&view, home);
     let mut changed: BTreeMap<String, Job> = BTreeMap::new();
     for id in blocked {
         if search.searches >= SEARCHES * 2 {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -288,7 +288,7 @@
 }
 
 fn hints(view: &View) -> Hints<'_> {
-    Hints { view, home: "n0" }
+    Hints::new(view, "n0")
 }
 
 /// KEP-2724, "Computing the assignment": required waits, preferred relaxes.
