Machines of a part stand in one record; they take work once they have reported

Cause: a claim wrote a record a machine, so that taking over 600 machines cost 20 s of all writes; a late report of a machine that is gone could make it take work. The group is machine/Z/HOME.N, each machine with its own token; the home follows from the settings alone, and a machine that is new guards all parts of its home, so that it cannot come to stand in two.

--- a/src/draft.rs
+++ b/src/draft.rs
@@ -8,9 +8,12 @@
 
 use crate::admission::Place;
 use crate::machines::EndKey;
-use crate::model::{Job, Life, Outcome, Part, Room, Spec, Team};
+use crate::model::{
+    Group, Job, Life, Machine, Outcome, Part, Room, Spec, Team, machine_bytes, slot_bytes,
+};
 use crate::node::{guard, put};
-use crate::view::{View, job_key, machine_key, part_key, team_key};
+use crate::settings::Settings;
+use crate::view::{View, group_key, job_key, part_id, part_key, team_key};
 use crate::wire::{Guard, Write};
 
 /// Conditions that a commit may have for each of its writes, by the protocol.
@@ -26,8 +29,8 @@
     /// What this draft's ends free.
     released: BTreeMap<String, Room>,
     team_released: BTreeMap<String, Room>,
-    /// Machines whose records must be as they are, but are not written.
-    machines: BTreeSet<String>,
+    /// Groups of machines that must be as they are, but are not written.
+    groups: BTreeSet<String>,
 }
 
 /// What became of an end.
@@ -50,7 +53,7 @@
             parts: BTreeMap::new(),
             released: BTreeMap::new(),
             team_released: BTreeMap::new(),
-            machines: BTreeSet::new(),
+            groups: BTreeSet::new(),
         }
     }
 
@@ -125,13 +128,14 @@
         // Safety 3: what proved the end holds only while the machine is still
         // ours, or once it is gone for good; the guard on its record makes
         // the commit depend on it.
-        let proven = self.view.machines.get(&key.machine).is_some_and(|e| {
-            let m = &e.value;
-            m.life == Life::Gone || (m.holder == node && m.incarnation == incarnation)
-        });
-        if !proven {
-            return Released::Stale;
-        }
+        let group = match self.view.machines.get(&key.machine).map(|e| &e.value) {
+            Some(m)
+                if m.life == Life::Gone || (m.holder == node && m.incarnation == incarnation) =>
+            {
+                part_id(&m.zone, &m.part)
+            }
+            _ => return Released::Stale,
+        };
         let Some(job) = self.job(&key.job) else {
             return Released::Stale;
         };
@@ -145,7 +149,7 @@
         // known to all from the job's, and the next booking there counts it.
         let most = self.most * (GUARDS_PER_WRITE - 1);
         if !self.has_room(&key.job, None, &BTreeSet::new())
-            || (self.machines.len() >= most && !self.machines.contains(&key.machine))
+            || (self.groups.len() >= most && !self.groups.contains(&group))
         {
             return Released::Full;
         }
@@ -154,7 +158,7 @@
         }
         *self.released.entry(key.machine.clone()).or_default() += spec.need;
         *self.team_released.entry(spec.team).or_default() += spec.need;
-        self.machines.insert(key.machine.clone());
+        self.groups.insert(group);
         Released::Yes
     }
 
@@ -209,9 +213,8 @@
             guards.push(guard(part_key(id), self.view.part_version(id)));
             writes.push(put(part_key(id), part));
         }
-        for id in &self.machines {
-            let version = self.view.machines.get(id).map_or(0, |e| e.version);
-            guards.push(guard(machine_key(id), version));
+        for id in &self.groups {
+            guards.push(guard(group_key(id), self.view.group_version(id)));
         }
         (guards, writes)
     }
@@ -242,3 +245,105 @@
         }
     }
 }
+
+/// Groups of machines as one commit will leave them.
+pub struct Groups<'a> {
+    view: &'a View,
+    edited: BTreeMap<String, Group>,
+    /// Groups that must be as they are, too.
+    guarded: BTreeSet<String>,
+}
+
+impl<'a> Groups<'a> {
+    pub fn new(view: &'a View) -> Self {
+        Groups {
+            view,
+            edited: BTreeMap::new(),
+            guarded: BTreeSet::new(),
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.edited.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.edited.is_empty()
+    }
+
+    /// Whether a commit of `ops` writes, with its conditions, can hold no more.
+    pub fn is_full(&self, ops: usize) -> bool {
+        let guards = self.edited.len() + self.guarded.len();
+        self.edited.len() >= ops || guards >= ops * (GUARDS_PER_WRITE - 1)
+    }
+
+    pub fn has(&self, id: &str) -> bool {
+        self.edited.contains_key(id)
+    }
+
+    pub fn edit(&mut self, id: &str) -> &mut BTreeMap<String, Machine> {
+        let view = self.view;
+        let group = self.edited.entry(id.to_string()).or_insert_with(|| {
+            let known = view.groups.get(id).map(|e| e.value.clone());
+            known.unwrap_or_default()
+        });
+        &mut group.machines
+    }
+
+    /// Puts a machine where its zone and part say.
+    pub fn put(&mut self, name: &str, machine: Machine) {
+        let id = part_id(&machine.zone, &machine.part);
+        self.edit(&id).insert(name.to_string(), machine);
+    }
+
+    /// The part that a machine without a record belongs to from now on: the
+    /// first of its home controller's, in its zone, whose records have room
+    /// for it. The home follows from the settings alone, and all of its parts
+    /// are guarded: two controllers that take a machine up at once cannot put
+    /// it into two.
+    pub fn new_part(&mut self, settings: &Settings, name: &str, kind: &str, zone: &str) -> String {
+        let home = settings.home(name, zone);
+        let longest = settings.longest_name();
+        let most = settings.value_bytes() * 9 / 10;
+        let bytes =
+            |name: &str, kind: &str| slot_bytes(name, kind).max(machine_bytes(name, kind, longest));
+        let mut found = None;
+        let mut number = 0;
+        loop {
+            let part = format!("{home}.{number}");
+            let id = part_id(zone, &part);
+            let known = self.view.groups.get(&id).map(|e| &e.value);
+            let here = self.edited.get(&id).or(known);
+            let used: usize = here
+                .iter()
+                .flat_map(|g| &g.machines)
+                .map(|(n, m)| bytes(n, &m.kind))
+                .sum();
+            self.guarded.insert(id);
+            // One that alone is too long for a record still has a part.
+            if found.is_none() && (used == 0 || used + bytes(name, kind) <= most) {
+                found = Some(part);
+            }
+            // Parts are taken in order: behind one that is not there is none.
+            if here.is_none() {
+                return found.unwrap_or(format!("{home}.{number}"));
+            }
+            number += 1;
+        }
+    }
+
+    pub fn into_commit(self) -> (Vec<Guard>, Vec<Write>) {
+        let all: BTreeSet<&String> = self.edited.keys().chain(&self.guarded).collect();
+        let guards = all
+            .into_iter()
+            .map(|id| guard(group_key(id), self.view.group_version(id)))
+            .collect();
+        // An empty group stays: its parts are numbered without gaps.
+        let writes = self
+            .edited
+            .iter()
+            .map(|(id, group)| put(group_key(id), group))
+            .collect();
+        (guards, writes)
+    }
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -13,14 +13,14 @@
 use tokio::time::{Instant, sleep};
 
 use crate::admission::{self, Care, Hints, Plan};
+use crate::draft::Groups;
 use crate::http::Response;
 use crate::model::{Hire, Job, Life, Machine, Part, Renter, Room, Spec, Types};
 use crate::node::{Node, guard, put};
 use crate::policy::MachineFacts;
 use crate::store::{Bucket, Class, StoreError};
 use crate::view::{
-    Entry, FLEET_KEY, TYPES_KEY, View, arrivals_key, hire_key, job_key, machine_key, node_key,
-    part_id, part_key,
+    Entry, FLEET_KEY, TYPES_KEY, View, arrivals_key, hire_key, job_key, node_key, part_id, part_key,
 };
 use crate::wire::{
     Guard, Kind, ListedStage, MachineList, MachineNames, MachineType, MachineTypes, RentRequest,
@@ -311,11 +311,11 @@
 /// the parts, too, so that no booking slips in between.
 async fn set_lives(node: &Node, lives: &[(String, Life)]) -> HashSet<String> {
     let ops = node.settings.deployment.state.txn_ops;
-    let mut guards = Vec::new();
-    let mut writes = Vec::new();
     let mut changed = HashSet::new();
+    let (mut guards, mut writes);
     {
         let view = node.view.borrow();
+        let mut groups = Groups::new(&view);
         let mut parts: BTreeMap<String, (Part, bool)> = BTreeMap::new();
         for (id, life) in lives {
             let Some(entry) = view.machines.get(id) else {
@@ -328,25 +328,25 @@
                 Life::Returning => *life == Life::Gone,
                 _ => machine.life != *life,
             };
-            // A machine and perhaps its part.
-            if !onward || writes.len() + parts.len() + 2 > ops {
+            // A group and perhaps its part.
+            let part = part_id(&machine.zone, &machine.part);
+            if !onward || (!groups.has(&part) && groups.len() + parts.len() + 2 > ops) {
                 continue;
             }
             machine.life = *life;
-            guards.push(guard(machine_key(id), entry.version));
-            writes.push(put(machine_key(id), &machine));
+            groups.put(id, machine);
             changed.insert(id.clone());
-            let part = part_id(&machine.zone, &machine.part);
             if *life != Life::Active
                 && let Some(entry) = view.parts.get(&part)
             {
                 // The part is guarded even if the machine is not in its
-                // record: a claim could be putting it there just now.
+                // record: its holder could be putting it there just now.
                 let record = parts.entry(part);
                 let record = record.or_insert_with(|| (entry.value.clone(), false));
                 record.1 |= record.0.machines.remove(id).is_some();
             }
         }
+        (guards, writes) = groups.into_commit();
         for (id, (part, changed)) in parts {
             guards.push(guard(part_key(&id), view.part_version(&id)));
             if changed {
@@ -466,15 +466,17 @@
         let known = |id: &str| view.machines.contains_key(id);
         leaving.into_iter().partition(|(id, _, _)| known(id))
     };
-    for (id, _, _) in new {
-        give_up(node, &id).await;
-    }
-    for some in known.chunks((node.settings.deployment.state.txn_ops / 2).max(1)) {
-        let lives: Vec<(String, Life)> = some.iter().map(|l| (l.0.clone(), l.1)).collect();
-        let changed = set_lives(node, &lives).await;
-        for (id, life, why) in some.iter().filter(|l| changed.contains(&l.0)) {
-            tracing::info!(machine = id, ?life, why, "leaves service");
-        }
+    let lost: Vec<(String, Machine)> = {
+        let view = node.view.borrow();
+        new.iter()
+            .filter_map(|(id, _, _)| never_came_up(&view, id))
+            .collect()
+    };
+    take_up(node, &lost).await;
+    let lives: Vec<(String, Life)> = known.iter().map(|l| (l.0.clone(), l.1)).collect();
+    let changed = set_lives(node, &lives).await;
+    for (id, life, why) in known.iter().filter(|l| changed.contains(&l.0)) {
+        tracing::info!(machine = id, ?life, why, "leaves service");
     }
 }
 
@@ -641,14 +643,11 @@
     let part = view.parts.get(&part_id)?;
     let mut record = part.value.clone();
     record.machines.remove(id);
-    let mut guards = vec![
-        guard(machine_key(id), entry.version),
-        guard(part_key(&part_id), part.version),
-    ];
-    let mut writes = vec![
-        put(machine_key(id), &machine),
-        put(part_key(&part_id), &record),
-    ];
+    let mut groups = Groups::new(&view);
+    groups.put(id, machine);
+    let (mut guards, mut writes) = groups.into_commit();
+    guards.push(guard(part_key(&part_id), part.version));
+    writes.push(put(part_key(&part_id), &record));
     for job_id in jobs {
         let mut job = view.jobs[job_id].value.clone();
         for run in job.runs.iter_mut().filter(|r| r.machine == *id) {
@@ -797,44 +796,47 @@
     rented.chain(found)
 }
 
-/// Gives up a machine that has not come up: it gets a record, which says that
-/// it goes back.
-async fn give_up(node: &Node, id: &str) {
+/// Takes up machines that have no record: rented ones that have not come up,
+/// which go back, and listed ones that nobody knows.
+async fn take_up(node: &Node, machines: &[(String, Machine)]) {
+    let ops = node.settings.deployment.state.txn_ops;
+    let mut taken = Vec::new();
     let (guards, writes) = {
         let view = node.view.borrow();
-        if view.machines.contains_key(id) {
-            return;
+        let mut groups = Groups::new(&view);
+        for (id, machine) in machines {
+            if view.machines.contains_key(id) || groups.is_full(ops) {
+                continue;
+            }
+            let mut machine = machine.clone();
+            machine.part = groups.new_part(&node.settings, id, &machine.kind, &machine.zone);
+            taken.push((id, machine.life));
+            groups.put(id, machine);
         }
-        let Some((_, hire)) = hire_of(&view, id) else {
-            return;
-        };
-        let record = Machine {
-            life: Life::Returning,
-            ..new_machine(&hire.value.kind, &hire.value.zone, hire.value.spot)
-        };
-        (
-            vec![guard(machine_key(id), 0)],
-            vec![put(machine_key(id), &record)],
-        )
+        groups.into_commit()
     };
+    if writes.is_empty() {
+        return;
+    }
     match node.commit(Class::Life, guards, writes).await {
-        Ok(_) => tracing::info!(machine = id, "never came up: goes back"),
-        Err(error) => tracing::debug!(machine = id, %error, "not given up"),
+        Ok(_) => {
+            for (machine, life) in taken {
+                tracing::info!(machine, ?life, "taken up");
+            }
+        }
+        Err(error) => tracing::debug!(%error, "machines not taken up"),
     }
 }
 
-/// A machine that nobody has claimed yet.
-fn new_machine(kind: &str, zone: &str, spot: bool) -> Machine {
-    Machine {
-        holder: String::new(),
-        incarnation: 0,
-        token: 0,
-        life: Life::Booting,
-        kind: kind.to_string(),
-        zone: zone.to_string(),
-        spot,
-        part: String::new(),
-    }
+/// A rented machine without a record, to be sent back.
+fn never_came_up(view: &View, id: &str) -> Option<(String, Machine)> {
+    let (_, hire) = hire_of(view, id)?;
+    let machine = Machine {
+        life: Life::Returning,
+        spot: hire.value.spot,
+        ..Machine::new(&hire.value.kind, &hire.value.zone)
+    };
+    Some((id.to_string(), machine))
 }
 
 /// Returns what is to go, and drops the records of what is gone.
@@ -872,11 +874,8 @@
                 let booked = |id: &String| view.bookings.contains_key(id);
                 returning.iter().cloned().partition(booked)
             };
-            let ops = node.settings.deployment.state.txn_ops;
-            for some in booked.chunks((ops / 2).max(1)) {
-                let lives: Vec<_> = some.iter().map(|id| (id.clone(), Life::Gone)).collect();
-                set_lives(node, &lives).await;
-            }
+            let lives: Vec<_> = booked.into_iter().map(|id| (id, Life::Gone)).collect();
+            set_lives(node, &lives).await;
             drop_records(node, empty).await;
             let mut fleet = node.fleet.borrow_mut();
             for id in returning {
@@ -892,14 +891,11 @@
 
 /// Drops the records of machines that the cloud has taken back.
 async fn drop_records(node: &Node, ids: Vec<String>) {
-    for some in ids.chunks((node.settings.deployment.state.txn_ops / 2).max(1)) {
-        let (guards, writes) = drop_gone(node, some);
-        if !writes.is_empty()
-            && let Err(error) = node.commit(Class::Room, guards, writes).await
-        {
-            tracing::debug!(%error, "records of gone machines stay");
-            return;
-        }
+    let (guards, writes) = drop_gone(node, &ids);
+    if !writes.is_empty()
+        && let Err(error) = node.commit(Class::Room, guards, writes).await
+    {
+        tracing::debug!(%error, "records of gone machines stay");
     }
 }
 
@@ -908,32 +904,31 @@
 fn drop_gone(node: &Node, gone: &[String]) -> (Vec<Guard>, Vec<Write>) {
     let view = node.view.borrow();
     let ops = node.settings.deployment.state.txn_ops;
-    let mut guards = Vec::new();
-    let mut writes = Vec::new();
+    let mut groups = Groups::new(&view);
     let mut hires: BTreeMap<&String, Hire> = BTreeMap::new();
     for id in gone {
-        // Nothing was booked meanwhile: its part has lost it, and its record
+        // Nothing was booked meanwhile: its part has lost it, and its group
         // is guarded.
-        let Some(entry) = view.machines.get(id) else {
+        let Some(machine) = view.machines.get(id).map(|e| &e.value) else {
             continue;
         };
         if view.bookings.contains_key(id) {
             continue;
         }
         let hire = hire_of(&view, id);
-        let new = 1 + usize::from(hire.is_some_and(|(h, _)| !hires.contains_key(h)));
-        if writes.len() + hires.len() + new > ops {
-            break;
+        let group = part_id(&machine.zone, &machine.part);
+        let new = usize::from(!groups.has(&group))
+            + usize::from(hire.is_some_and(|(h, _)| !hires.contains_key(h)));
+        if groups.len() + hires.len() + new > ops {
+            continue;
         }
-        guards.push(guard(machine_key(id), entry.version));
-        writes.push(Write::Delete {
-            key: machine_key(id),
-        });
+        groups.edit(&group).remove(id);
         if let Some((hire_id, entry)) = hire {
             let hire = hires.entry(hire_id).or_insert_with(|| entry.value.clone());
             hire.machines.retain(|m| m != id);
         }
     }
+    let (mut guards, mut writes) = groups.into_commit();
     for (id, hire) in hires {
         let key = hire_key(id);
         guards.push(guard(key.clone(), view.hires[id].version));
@@ -978,11 +973,8 @@
         }
     }
     node.fleet.borrow_mut().listed_at = Some(Instant::now());
-    let ops = node.settings.deployment.state.txn_ops;
-    let mut guards = Vec::new();
-    let mut writes = Vec::new();
     let mut failed = Vec::new();
-    let mut failed_boots = Vec::new();
+    let mut new = Vec::new();
     {
         let view = node.view.borrow();
         let unnamed = view.hires.values().any(|e| e.value.machines.is_empty());
@@ -996,10 +988,10 @@
                         failed.push(m.id.clone());
                     }
                 }
-                None if fleet.gone.contains_key(&m.id) || writes.len() == ops => {}
+                None if fleet.gone.contains_key(&m.id) => {}
                 None if hire_of(&view, &m.id).is_some() => {
                     if m.stage == ListedStage::Failed {
-                        failed_boots.push(m.id.clone());
+                        new.extend(never_came_up(&view, &m.id));
                     }
                 }
                 // The answer to a rental that is under way will name it.
@@ -1008,25 +1000,18 @@
                 // its own: only one that nobody hears of is taken up here.
                 None if !fleet.unheard(&m.id, orphaned) => {}
                 None => {
-                    let record = new_machine(&m.kind, &m.zone, m.spot);
-                    tracing::info!(machine = m.id, "found in the cloud's list");
-                    guards.push(guard(machine_key(&m.id), 0));
-                    writes.push(put(machine_key(&m.id), &record));
+                    let machine = Machine {
+                        spot: m.spot,
+                        ..Machine::new(&m.kind, &m.zone)
+                    };
+                    new.push((m.id.clone(), machine));
                 }
             }
         }
     }
-    if !writes.is_empty()
-        && let Err(error) = node.commit(Class::Life, guards, writes).await
-    {
-        tracing::debug!(%error, "listed machines not adopted");
-    }
-    for id in failed {
-        set_life(node, &id, Life::Returning).await;
-    }
-    for id in failed_boots {
-        give_up(node, &id).await;
-    }
+    take_up(node, &new).await;
+    let failed: Vec<_> = failed.into_iter().map(|id| (id, Life::Returning)).collect();
+    set_lives(node, &failed).await;
 }
 
 /// Machines held by this controller that should leave, and why. Only the
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -11,12 +11,13 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::draft::Groups;
 use crate::http::{CallError, Response};
-use crate::model::{Job, Life, Machine, Outcome, Part, Room, Slot, Spec, slot_bytes, split_task};
+use crate::model::{Job, Life, Machine, Outcome, Part, Room, Slot, Spec, split_task};
 use crate::node::{Node, guard, put};
 use crate::settings::CLOCK_DRIFT;
 use crate::store::{Class, StoreError};
-use crate::view::{View, machine_key, part_id, part_key};
+use crate::view::{View, part_id, part_key};
 use crate::wire::{BeatAnswer, Order, Orders, Redirect, Report, TaskStage, Verb, Why};
 
 /// A task's attempt on a machine whose booking is to be released.
@@ -35,6 +36,8 @@
     /// When it was last asked for: a worker that has gone on to another
     /// controller meanwhile is not to be drawn back.
     asked: Instant,
+    /// The machine's token in the view when it was asked for.
+    token: u64,
     /// The worker has to be told to stop something.
     urgent: bool,
 }
@@ -532,7 +535,10 @@
         let at = (report.session, report.seq);
         if let Some(hand) = self.hands.borrow_mut().get_mut(&id) {
             hand.heard = now;
-            hand.take(report, true);
+            let first = hand.report.is_none();
+            if hand.take(report, true) && first {
+                self.rooms_wanted.notify_one();
+            }
         }
         if recalled {
             self.fleet.borrow_mut().recalled.insert(id.clone());
@@ -584,12 +590,16 @@
     fn ask_claim(&self, id: &str, report: &Report, urgent: bool) -> watch::Receiver<bool> {
         self.fleet.borrow_mut().remember(report);
         let asked = Instant::now();
+        let view = self.view.borrow();
+        let token = view.machines.get(id).map_or(0, |e| e.value.token);
         let mut claims = self.claims.borrow_mut();
         let claim = claims.entry(id.to_string()).or_insert_with(|| Claim {
             done: watch::Sender::new(false),
             asked,
+            token,
             urgent,
         });
+        claim.token = token;
         claim.asked = asked;
         claim.urgent |= urgent;
         let receiver = claim.done.subscribe();
@@ -615,8 +625,8 @@
         // Workers turn up together after a restart: let a few gather.
         sleep(node.request_gap() / 4).await;
         while !node.claims.borrow().is_empty() {
-            let some = node.claims.borrow().len();
-            node.store.ready(Class::Claim, some).await;
+            // They stand in few records, however many they are.
+            node.store.ready(Class::Claim, 1).await;
             if let Err(error) = claim_some(&node).await {
                 tracing::debug!(%error, "claims not committed");
                 sleep(node.store.jitter(node.request_gap() * 2)).await;
@@ -628,62 +638,14 @@
     }
 }
 
-/// The part that a machine belongs to from now on: the first of its home
-/// controller's in its zone whose record has room for it for good. All that
-/// ever belonged to a part count, whether they take work just now or not.
-fn choose_part(
-    node: &Node,
-    view: &View,
-    joining: &BTreeMap<String, Part>,
-    id: &str,
-    machine: &Machine,
-) -> String {
-    let home = {
-        let now = Instant::now();
-        let peers = node.peers.borrow();
-        let home = node.nearest(id, &machine.zone, &peers.alive(node, now));
-        home.unwrap_or_else(|| node.name().to_string())
-    };
-    let mut full: HashMap<&str, usize> = HashMap::new();
-    for (m, e) in &view.machines {
-        if e.value.zone == machine.zone {
-            *full.entry(&e.value.part).or_default() += slot_bytes(m, &e.value.kind);
-        }
-    }
-    let most = node.settings.value_bytes() * 9 / 10;
-    let mut number = 0;
-    loop {
-        let part = format!("{home}.{number}");
-        let here = full.get(part.as_str()).copied().unwrap_or(0);
-        let joins = joining.get(&part_id(&machine.zone, &part));
-        let joins: usize = joins
-            .iter()
-            .flat_map(|p| &p.machines)
-            .filter(|(m, _)| {
-                view.machines
-                    .get(*m)
-                    .is_none_or(|e| e.value.part.is_empty())
-            })
-            .map(|(m, s)| slot_bytes(m, &s.kind))
-            .sum();
-        // One that alone is too long for a record still has a part.
-        if here + joins == 0 || here + joins + slot_bytes(id, &machine.kind) <= most {
-            return part;
-        }
-        number += 1;
-    }
-}
-
 async fn claim_some(node: &Node) -> Result<(), StoreError> {
     let ops = node.settings.deployment.state.txn_ops;
     let mut wanted: Vec<String> = Vec::new();
-    let mut guards = Vec::new();
-    let mut writes = Vec::new();
     let mut taken: Vec<(String, u64)> = Vec::new();
+    let (guards, writes);
     {
         let view = node.view.borrow();
         let fleet = node.fleet.borrow();
-        let mut records: BTreeMap<String, Part> = BTreeMap::new();
         let mut claims = node.claims.borrow_mut();
         let now = Instant::now();
         // A worker reports again, or has gone on, within this time.
@@ -691,34 +653,40 @@
         claims.retain(|id, claim| {
             let known = view.machines.get(id).map(|e| &e.value);
             let ours = known.is_none_or(|m| m.holder.is_empty() || m.holder == node.name());
-            ours || now.saturating_duration_since(claim.asked) < fresh
+            // If another was quicker and the worker is here all the same, its
+            // next report asks again.
+            let quicker = known.is_some_and(|m| m.token > claim.token);
+            ours || (!quicker && now.saturating_duration_since(claim.asked) < fresh)
         });
         let mut order: Vec<(&String, &Claim)> = claims.iter().collect();
         // Those whose workers wait for the answer come first.
         order.sort_by_key(|(_, c)| (!c.urgent, c.done.is_closed()));
+        let mut groups = Groups::new(&view);
         for (id, _) in order {
-            // A claim writes a machine and perhaps a part that is new to it.
-            if taken.len() + records.len() + 2 > ops {
-                break;
-            }
-            wanted.push(id.clone());
             let Some(report) = fleet.reports.get(id) else {
+                wanted.push(id.clone());
                 continue;
             };
-            let known = view.machines.get(id);
-            let mut machine = known.map_or_else(
-                || Machine {
-                    holder: String::new(),
-                    incarnation: 0,
-                    token: 0,
-                    life: Life::Active,
-                    kind: report.kind.clone(),
-                    zone: report.zone.clone(),
-                    spot: report.spot,
-                    part: String::new(),
-                },
-                |e| e.value.clone(),
-            );
+            let known = view.machines.get(id).map(|e| &e.value);
+            // A group that is new to the commit, and the conditions for one
+            // that is new to its zone.
+            let group = known.map(|m| part_id(&m.zone, &m.part));
+            if groups.is_full(ops) && !group.is_some_and(|g| groups.has(&g)) {
+                continue;
+            }
+            wanted.push(id.clone());
+            let mut machine = match known {
+                Some(m) => m.clone(),
+                None => {
+                    let (kind, zone) = (&report.kind, &report.zone);
+                    let part = groups.new_part(&node.settings, id, kind, zone);
+                    Machine {
+                        part,
+                        spot: report.spot,
+                        ..Machine::new(kind, zone)
+                    }
+                }
+            };
             if machine.life == Life::Gone {
                 continue;
             }
@@ -728,38 +696,10 @@
             machine.token = machine.token.max(report.token) + 1;
             machine.holder = node.name().to_string();
             machine.incarnation = node.incarnation;
-            if machine.part.is_empty() {
-                machine.part = choose_part(node, &view, &records, id, &machine);
-            }
-            let part = part_id(&machine.zone, &machine.part);
-            guards.push(guard(machine_key(id), known.map_or(0, |e| e.version)));
-            writes.push(put(machine_key(id), &machine));
             taken.push((id.clone(), machine.token));
-            // A machine that is new to its zone's record joins it at once.
-            if machine.life == Life::Active
-                && view.slot(id).is_none()
-                && let Some(kind) = view.type_of(&machine.kind)
-            {
-                let free = Room::of_type(kind) - view.booked_on(id);
-                let record = records.entry(part.clone()).or_insert_with(|| {
-                    let known = view.parts.get(&part).map(|e| e.value.clone());
-                    known.unwrap_or_default()
-                });
-                record.machines.insert(
-                    id.clone(),
-                    Slot {
-                        kind: machine.kind.clone(),
-                        spot: machine.spot,
-                        free,
-                        unbooked: Room::default(),
-                    },
-                );
-            }
-        }
-        for (id, part) in records {
-            guards.push(guard(part_key(&id), view.part_version(&id)));
-            writes.push(put(part_key(&id), &part));
+            groups.put(id, machine);
         }
+        (guards, writes) = groups.into_commit();
     }
     if !writes.is_empty() {
         let revision = match node.commit(Class::Claim, guards, writes).await {
@@ -768,16 +708,6 @@
                 if matches!(e, StoreError::Conflict(_) | StoreError::NoAnswer(_)) {
                     node.barrier(node.settings.lease() / 8).await;
                 }
-                if let StoreError::Conflict(keys) = &e {
-                    // Another was quicker. If the worker is here all the same,
-                    // its next report asks again; the others do not wait.
-                    let mut claims = node.claims.borrow_mut();
-                    for id in &wanted {
-                        if keys.contains(&machine_key(id)) {
-                            claims.remove(id);
-                        }
-                    }
-                }
                 // An unanswered claim may have happened: then the view shows
                 // a token that is ours by name but not in hand, and the next
                 // try bumps it once more.
@@ -902,7 +832,10 @@
                     if let Some(known) = node.fleet.borrow_mut().reports.get_mut(&id) {
                         known.session = report.session;
                     }
-                    hand.take(report, false);
+                    let first = hand.report.is_none();
+                    if hand.take(report, false) && first {
+                        node.rooms_wanted.notify_one();
+                    }
                 }
             }
             Err(error) => {
@@ -1015,8 +948,11 @@
     // Starting value of the design: at most every 5 s per record.
     let mut last: HashMap<String, Instant> = HashMap::new();
     let interval = Duration::from_secs(5);
+    // Machines that can take work from now on gather for a moment.
+    let gather = node.request_gap() * 4;
     loop {
-        sleep(node.settings.report() / 3).await;
+        let _ = timeout(node.settings.report() / 3, node.rooms_wanted.notified()).await;
+        sleep(gather).await;
         if !node.has_state() {
             continue;
         }
@@ -1095,7 +1031,11 @@
         }
         let part = part_id(&m.zone, &m.part);
         let most = node.settings.deployment.state.txn_ops;
-        if recent.contains_key(&part) || (parts.len() == most && !parts.contains_key(&part)) {
+        // A machine that joins does not wait for the interval.
+        let joins = known.is_none();
+        if (recent.contains_key(&part) && !joins)
+            || (parts.len() == most && !parts.contains_key(&part))
+        {
             continue;
         }
         let record = parts.entry(part).or_insert_with_key(|part| {
--- a/src/model.rs
+++ b/src/model.rs
@@ -646,7 +646,21 @@
     Gone,
 }
 
-/// `machine/ID`.
+/// `machine/Z/PART`: the machines of one part, so that a takeover, a rental or
+/// a return of dozens costs a few writes. Each has a token of its own.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Group {
+    #[serde(rename = "m", default)]
+    pub machines: BTreeMap<String, Machine>,
+}
+
+/// The most that a machine takes of its group's record: names, quotes and
+/// marks, the incarnation and the token.
+pub fn machine_bytes(machine: &str, kind: &str, holder: usize) -> usize {
+    machine.len() + kind.len() + holder + 85
+}
+
+/// One machine, as its group has it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Machine {
     #[serde(rename = "h", default)]
@@ -661,16 +675,33 @@
     pub life: Life,
     #[serde(rename = "t")]
     pub kind: String,
-    #[serde(rename = "z")]
+    /// Zone and part are the record's key: not written again.
+    #[serde(skip)]
     pub zone: String,
     #[serde(rename = "l", default, skip_serializing_if = "is_false")]
     pub spot: bool,
-    /// The part of its zone's record that it belongs to, from its first claim
+    /// The part of its zone's record that it belongs to, from its first record
     /// on: the name of its home controller and a number.
-    #[serde(rename = "p", default, skip_serializing_if = "String::is_empty")]
+    #[serde(skip)]
     pub part: String,
 }
 
+impl Machine {
+    /// One that nobody has claimed yet.
+    pub fn new(kind: &str, zone: &str) -> Self {
+        Machine {
+            holder: String::new(),
+            incarnation: 0,
+            token: 0,
+            life: Life::Booting,
+            kind: kind.to_string(),
+            zone: zone.to_string(),
+            spot: false,
+            part: String::new(),
+        }
+    }
+}
+
 /// `hire/ID`: a rental that is or may be under way, or whose machines are.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Hire {
--- a/src/node.rs
+++ b/src/node.rs
@@ -56,6 +56,8 @@
     pub arrivals_wanted: Notify,
     pub claims: RefCell<BTreeMap<String, Claim>>,
     pub claims_wanted: Notify,
+    /// A machine can take work from now on.
+    pub rooms_wanted: Notify,
     pub peers: RefCell<Peers>,
     pub fleet: RefCell<FleetState>,
     /// Why each open job waits, as the decision that made it wait said.
@@ -92,7 +94,7 @@
             net,
             client,
             store,
-            incarnation: rng.random_range(1..u64::MAX / 4),
+            incarnation: rng.random_range(1..u64::from(u32::MAX)),
             started: now,
             view: RefCell::default(),
             reached: watch::Sender::new(0),
@@ -111,6 +113,7 @@
             arrivals_wanted: Notify::new(),
             claims: RefCell::default(),
             claims_wanted: Notify::new(),
+            rooms_wanted: Notify::new(),
             peers: RefCell::default(),
             fleet: RefCell::default(),
             reasons: RefCell::default(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -332,6 +332,30 @@
         self.deployment.teams.iter().find(|t| t.name == name)
     }
 
+    /// The home of a machine among all controllers of the settings, up or not:
+    /// one of its zone, if there is any.
+    pub fn home(&self, machine: &str, zone: &str) -> &str {
+        let all = self
+            .others
+            .iter()
+            .map(|p| (p.name.as_str(), p.zone.as_str()));
+        let all = || {
+            all.clone()
+                .chain([(self.node.as_str(), self.zone.as_str())])
+        };
+        let near = all().filter(|(_, z)| *z == zone).map(|(n, _)| n);
+        let any = all().map(|(n, _)| n);
+        crate::placement::preferred(machine, near)
+            .or_else(|| crate::placement::preferred(machine, any))
+            .unwrap_or(&self.node)
+    }
+
+    /// The length of the longest name of a controller.
+    pub fn longest_name(&self) -> usize {
+        let others = self.others.iter().map(|p| p.name.len());
+        others.chain([self.node.len()]).max().unwrap_or(0)
+    }
+
     /// What is held back from every safety span for drift between clocks and
     /// for the time that handling a message takes.
     pub fn margin(&self) -> Duration {
--- a/src/view.rs
+++ b/src/view.rs
@@ -11,7 +11,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::model::{
-    Arrivals, Hire, Job, Machine, Part, Ranges, Renter, Room, Slot, Spec, Team, Types,
+    Arrivals, Group, Hire, Job, Machine, Part, Ranges, Renter, Room, Slot, Spec, Team, Types,
 };
 use crate::wire::{Event, Pair, Write};
 
@@ -37,7 +37,8 @@
 pub fn part_key(id: &str) -> String {
     format!("{PREFIX}zone/{id}")
 }
-pub fn machine_key(id: &str) -> String {
+/// A group's key; the name is its part's.
+pub fn group_key(id: &str) -> String {
     format!("{PREFIX}machine/{id}")
 }
 pub fn node_key(name: &str) -> String {
@@ -133,7 +134,10 @@
     pub teams: Table<Team>,
     /// The zones' records, by `zone/part`.
     pub parts: Table<Part>,
+    /// All machines, each with the revision of its own last change.
     pub machines: Table<Machine>,
+    /// The records that they stand in, by `zone/part`.
+    pub groups: Table<Group>,
     pub hires: Table<Hire>,
     pub arrivals: Table<Arrivals>,
     pub types: Entry<Types>,
@@ -280,15 +284,8 @@
                 }
             }
             "machine" => {
-                let machine = value.and_then(|v| parse(key, v));
-                if machine.is_none()
-                    && let Some(n) = self.machine_names.find(id)
-                {
-                    self.images.remove(&n);
-                }
-                if put(&mut self.machines, id, version, machine) {
-                    self.changes.machines.insert(id.to_string());
-                }
+                let group = value.and_then(|v| parse(key, v));
+                self.set_group(id, version, group);
             }
             "hire" => {
                 put(
@@ -340,6 +337,43 @@
         }
     }
 
+    fn set_group(&mut self, id: &str, version: u64, group: Option<Group>) {
+        let old = match self.groups.get(id) {
+            Some(e) if e.version >= version => return,
+            _ => self.groups.remove(id).map(|e| e.value),
+        };
+        let (zone, part) = id.split_once('/').unwrap_or((id, ""));
+        let mut gone = old.unwrap_or_default().machines;
+        for (name, machine) in group.iter().flat_map(|g| &g.machines) {
+            let machine = Machine {
+                zone: zone.to_string(),
+                part: part.to_string(),
+                ..machine.clone()
+            };
+            gone.remove(name);
+            if self.machines.get(name).is_some_and(|e| e.value == machine) {
+                continue;
+            }
+            self.changes.machines.insert(name.clone());
+            let value = machine;
+            self.machines.insert(name.clone(), Entry { version, value });
+        }
+        for name in gone.into_keys() {
+            if let Some(n) = self.machine_names.find(&name) {
+                self.images.remove(&n);
+            }
+            self.machines.remove(&name);
+            self.changes.machines.insert(name);
+        }
+        if let Some(value) = group {
+            self.groups.insert(id.to_string(), Entry { version, value });
+        }
+    }
+
+    pub fn group_version(&self, id: &str) -> u64 {
+        self.groups.get(id).map_or(0, |e| e.version)
+    }
+
     fn set_job(&mut self, id: &str, version: u64, job: Option<Job>) {
         if self.jobs.get(id).is_some_and(|e| e.version >= version) {
             return;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -10,7 +10,7 @@
 use shelfhoist::machines::{EndKey, Hand, reconcile};
 use shelfhoist::model::*;
 use shelfhoist::settings::Settings;
-use shelfhoist::view::{View, job_key, machine_key, part_id, part_key};
+use shelfhoist::view::{View, group_key, job_key, part_id, part_key};
 use shelfhoist::wire::*;
 use tokio::time::Instant;
 
@@ -447,8 +447,8 @@
         vec![
             set(job_key("job-1"), serde_json::to_value(&job).expect("job")),
             set(
-                machine_key("m"),
-                serde_json::to_value(&machine).expect("machine"),
+                group_key("a/n0.0"),
+                json!({"m": {"m": serde_json::to_value(&machine).expect("machine")}}),
             ),
             set(part_key("a/n0.0"), json!({"m": {}})),
         ],
