A watch that was cut off for long gives way to reading the state anew; records are read once

After half a lease without a watch the state is read in pages, and values stay text until they are read into what they are.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -24,7 +24,7 @@
 };
 use crate::wire::{
     Guard, Kind, ListedStage, MachineList, MachineNames, MachineType, MachineTypes, RentRequest,
-    Report, Write,
+    Report, Write, raw,
 };
 
 /// A kind of offer: type, zone, spot.
@@ -190,7 +190,7 @@
         guards.push(guard(key.clone(), version));
         writes.push(Write::Put {
             key,
-            value: serde_json::to_value(&me).unwrap_or_default(),
+            value: raw(&me),
             lease: Some(lease),
         });
     };
--- a/src/http.rs
+++ b/src/http.rs
@@ -25,7 +25,7 @@
 const HEADERS: usize = 48;
 /// A watch response has no size limit by PROTOCOL; this bounds what a broken
 /// peer can make us hold.
-const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
+const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
 
 #[derive(Debug, Clone)]
 pub struct Request {
--- a/src/node.rs
+++ b/src/node.rs
@@ -23,7 +23,7 @@
 use crate::settings::Settings;
 use crate::store::{Budget, Class, Store, StoreError};
 use crate::view::{BARRIER_KEY, PREFIX, View};
-use crate::wire::{Commit, Guard, Write};
+use crate::wire::{Commit, Guard, Write, raw};
 
 pub struct Node {
     pub settings: Settings,
@@ -225,14 +225,20 @@
     pub async fn keep_view(self: Rc<Self>) {
         let gap = self.request_gap() * 2;
         let block = self.settings.lease() / 4;
+        // A watch brings every change since, however often a record was
+        // written: after a long silence that is many times the state itself,
+        // and more than the memory holds.
+        let stale = self.settings.lease() / 2;
+        let mut heard = Instant::now();
         loop {
-            if !self.view.borrow().loaded {
+            if !self.view.borrow().loaded || heard.elapsed() > stale {
                 if let Err(error) = self.load().await {
                     tracing::debug!(%error, "state not read");
                     sleep(self.store.jitter(Duration::from_millis(200))).await;
                     continue;
                 }
                 // Half commits among pages are mended by the first watch.
+                heard = Instant::now();
             }
             let opened = Instant::now();
             let after = self.view.borrow().revision;
@@ -245,6 +251,7 @@
             };
             match answer {
                 Ok(answer) => {
+                    heard = Instant::now();
                     self.view
                         .borrow_mut()
                         .advance(answer.events, answer.revision);
@@ -350,12 +357,11 @@
     Guard { key, version }
 }
 
-/// A write of `value` under `key`. Records are plain data: writing them as
-/// JSON cannot fail.
+/// A write of `value` under `key`.
 pub fn put<T: serde::Serialize>(key: String, value: &T) -> Write {
     Write::Put {
         key,
-        value: serde_json::to_value(value).unwrap_or_default(),
+        value: raw(value),
         lease: None,
     }
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 
 use crate::model::{
     Arrivals, Group, Hire, Job, Machine, Part, Ranges, Renter, Room, Slot, Spec, Team, Types,
@@ -172,8 +173,8 @@
 
 const IMAGES_REMEMBERED: usize = 16;
 
-fn parse<T: DeserializeOwned>(key: &str, value: serde_json::Value) -> Option<T> {
-    match serde_json::from_value(value) {
+fn parse<T: DeserializeOwned>(key: &str, value: &RawValue) -> Option<T> {
+    match serde_json::from_str(value.get()) {
         Ok(v) => Some(v),
         Err(error) => {
             tracing::error!(key, %error, "record not understood");
@@ -218,7 +219,7 @@
             ..View::default()
         };
         for pair in pairs {
-            self.set(&pair.key, pair.version, Some(pair.value));
+            self.set(&pair.key, pair.version, Some(&pair.value));
         }
         // A page may be newer than the revision of the first: the watch goes
         // on from the oldest, and older events than an entry are passed over.
@@ -227,13 +228,10 @@
     /// Takes what the watch brought.
     pub fn advance(&mut self, events: Vec<Event>, revision: u64) {
         for event in events {
-            match event {
-                Event::Put {
-                    key,
-                    value,
-                    version,
-                } => self.set(&key, version, Some(value)),
-                Event::Delete { key, version } => self.set(&key, version, None),
+            match (&event.set, &event.remove) {
+                (Some(key), _) => self.set(key, event.version, event.value.as_deref()),
+                (None, Some(key)) => self.set(key, event.version, None),
+                (None, None) => tracing::debug!("an event without a key"),
             }
         }
         self.revision = self.revision.max(revision);
@@ -245,7 +243,7 @@
     pub fn overlay(&mut self, writes: &[Write], revision: u64) {
         for write in writes {
             match write {
-                Write::Put { key, value, .. } => self.set(key, revision, Some(value.clone())),
+                Write::Put { key, value, .. } => self.set(key, revision, Some(value)),
                 Write::Delete { key } => {
                     self.set(key, revision, None);
                     if revision > self.revision {
@@ -256,7 +254,7 @@
         }
     }
 
-    fn set(&mut self, key: &str, version: u64, value: Option<serde_json::Value>) {
+    fn set(&mut self, key: &str, version: u64, value: Option<&RawValue>) {
         if self.removed.get(key).is_some_and(|v| *v >= version) {
             return;
         }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,6 +2,7 @@
 //! the field's terms, tied together by `serde` renames.
 
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Kind {
@@ -300,10 +301,20 @@
 
 // --- the state service -----------------------------------------------------
 
+/// A record's value as it stands in a message: it is read once, into what it
+/// is. Trees of values would take many times the room, and a watch that was
+/// cut off for a while brings megabytes.
+pub type Raw = Box<RawValue>;
+
+/// Records are plain data: writing them as JSON cannot fail.
+pub fn raw<T: Serialize>(value: &T) -> Raw {
+    serde_json::value::to_raw_value(value).unwrap_or_default()
+}
+
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Pair {
     pub key: String,
-    pub value: serde_json::Value,
+    pub value: Raw,
     #[serde(rename = "stamp")]
     pub version: u64,
 }
@@ -325,14 +336,14 @@
     pub version: u64,
 }
 
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize)]
 #[serde(untagged)]
 pub enum Write {
     Put {
         #[serde(rename = "set")]
         key: String,
-        value: serde_json::Value,
-        #[serde(rename = "permit", default, skip_serializing_if = "Option::is_none")]
+        value: Raw,
+        #[serde(rename = "permit", skip_serializing_if = "Option::is_none")]
         lease: Option<u64>,
     },
     Delete {
@@ -341,7 +352,7 @@
     },
 }
 
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize)]
 pub struct Commit {
     pub guards: Vec<Guard>,
     pub writes: Vec<Write>,
@@ -361,22 +372,28 @@
     pub revision: u64,
 }
 
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(untagged)]
-pub enum Event {
-    Put {
-        #[serde(rename = "set")]
-        key: String,
-        value: serde_json::Value,
-        #[serde(rename = "stamp")]
-        version: u64,
-    },
-    Delete {
-        #[serde(rename = "remove")]
-        key: String,
-        #[serde(rename = "stamp")]
-        version: u64,
-    },
+/// A change: a key was set to a value, or removed.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Event {
+    #[serde(default)]
+    pub set: Option<String>,
+    #[serde(default)]
+    pub remove: Option<String>,
+    #[serde(default)]
+    pub value: Option<Raw>,
+    #[serde(rename = "stamp")]
+    pub version: u64,
+}
+
+impl Event {
+    pub fn put<T: Serialize>(key: String, value: &T, version: u64) -> Self {
+        Event {
+            set: Some(key),
+            remove: None,
+            value: Some(raw(value)),
+            version,
+        }
+    }
 }
 
 #[derive(Debug, Deserialize)]
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -278,11 +278,10 @@
         let part = parts.entry(zone).or_default();
         part.machines.insert(machine.to_string(), slot);
     }
-    let events = parts.iter().map(|(zone, part)| Event::Put {
-        key: part_key(&part_id(zone, "n0.0")),
-        value: serde_json::to_value(part).expect("part"),
-        version: 3,
-    });
+    let key = |zone| part_key(&part_id(zone, "n0.0"));
+    let events = parts
+        .iter()
+        .map(|(zone, part)| Event::put(key(zone), part, 3));
     view.advance(events.collect(), 3);
     view
 }
@@ -438,11 +437,7 @@
         spot: false,
         part: "n0.0".into(),
     };
-    let set = |key: String, value: serde_json::Value| Event::Put {
-        key,
-        value,
-        version: 9,
-    };
+    let set = |key: String, value: serde_json::Value| Event::put(key, &value, 9);
     view.advance(
         vec![
             set(job_key("job-1"), serde_json::to_value(&job).expect("job")),
