--- a/src/admission.rs
+++ b/src/admission.rs
@@ -510,9 +510,10 @@
 
 /// Whether a job has waited so long that it goes first: a bound on waiting
 /// that no order by size, team or lateness can push back. Only for what has
-/// not begun: the rest of an array follows in the usual order.
+/// never begun: the rest of an array follows in the usual order, and what was
+/// stopped for a guarantee must not push back in before it.
 pub fn starves(job: &Job, spec: &Spec, settings: &Settings, age: f64) -> bool {
-    age > settings.starving_s() && job.waiting() == spec.tasks as usize
+    age > settings.starving_s() && job.attempt == 0 && job.waiting() == spec.tasks as usize
 }
 
 /// Keeps the room that a gang waits for, in the zone that has the most of it,
