Machines that hear nothing go back; late copies of reports tell nothing; a refusal comes at once

Found by tests against the stand-ins, each new here: a machine whose reports arrive while answers and orders do not kept its work and got more; late copies of its reports made controllers claim a dead machine in turn, for as long as they came; a small array alone on an empty site was never rented for; a renter back at once waited for its own state lease. Guards: Hand::hear, Unshown, Machine::seen, and who signs for the renter.

--- a/src/api.rs
+++ b/src/api.rs
@@ -199,7 +199,8 @@
     if node.view.borrow().jobs.contains_key(&id) {
         return poll_within(node, &id, ACCEPT_WAIT).await;
     }
-    if !node.view.borrow().loaded {
+    // What cannot be taken now is refused at once, with when to come back.
+    if !node.view.borrow().loaded || !node.has_state() {
         return busy();
     }
     let checked = check_submission(&submission, &node.settings, &node.view.borrow());
@@ -385,8 +386,9 @@
         return response;
     }
     // Safety 1: anything else must not be older than what another controller
-    // has told; 404 included.
-    if !node.barrier(limit).await {
+    // has told; 404 included. Without the state service that is not to be had,
+    // and nobody is kept waiting for it.
+    if !node.has_state() || !node.barrier(limit).await {
         return busy();
     }
     match known(node) {
@@ -401,6 +403,16 @@
     }
     let began = Instant::now();
     let mut fresh = false;
+    if !node.has_state()
+        && node
+            .view
+            .borrow()
+            .jobs
+            .get(id)
+            .is_none_or(|e| e.value.is_open())
+    {
+        return busy();
+    }
     while began.elapsed() < ACCEPT_WAIT {
         let entry = node.view.borrow().jobs.get(id).cloned();
         match entry {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -30,6 +30,21 @@
 /// A kind of offer: type, zone, spot.
 type Offer = (String, String, bool);
 
+/// Since when and until when live reports have shown too low a token, and the
+/// newest of them.
+#[derive(Debug, Clone, Copy)]
+struct Unshown {
+    first: Instant,
+    last: Instant,
+    at: (u64, u64),
+}
+
+impl Unshown {
+    fn is_deaf(&self, lease: Duration) -> bool {
+        self.last.saturating_duration_since(self.first) > lease.mul_f64(1.1)
+    }
+}
+
 #[derive(Default)]
 pub struct FleetState {
     /// The last report of a worker that asked to be claimed, without tasks:
@@ -47,6 +62,8 @@
     refused: HashMap<Offer, (Instant, u32)>,
     empty_since: HashMap<String, Instant>,
     first_seen: HashMap<String, Instant>,
+    /// Machines whose live reports show a token below the recorded one.
+    unshown: HashMap<String, Unshown>,
     /// Since when the cloud lists machines that have no record.
     listed: HashMap<String, Instant>,
     /// Machines confirmed gone: a late list may still name them.
@@ -65,6 +82,52 @@
 }
 
 impl FleetState {
+    /// Whether a worker has reported for longer than its lease without taking
+    /// up the token under which its machine is held, by whomever: its reports
+    /// arrive, but no answer and no order does. It tries one controller after
+    /// another, and is not claimed again and again: it goes back.
+    pub fn hears_nothing(
+        &mut self,
+        report: &Report,
+        token: u64,
+        lease: Duration,
+        now: Instant,
+    ) -> bool {
+        let id = &report.machine;
+        if report.token >= token {
+            self.unshown.remove(id);
+            return false;
+        }
+        let at = (report.session, report.seq);
+        let fresh = Unshown {
+            first: now,
+            last: now,
+            at: (0, 0),
+        };
+        let seen = self.unshown.entry(id.clone()).or_insert(fresh);
+        // A late copy is not a sign of anything.
+        if at <= seen.at {
+            return false;
+        }
+        // It may have been with others meanwhile, and heard them.
+        if now.saturating_duration_since(seen.last) > lease * 2 {
+            *seen = fresh;
+        }
+        seen.last = now;
+        seen.at = at;
+        seen.is_deaf(lease)
+    }
+
+    /// Machines that were found so just now.
+    fn deaf(&self, lease: Duration, now: Instant) -> Vec<String> {
+        let just = |u: &Unshown| now.saturating_duration_since(u.last) < lease / 2;
+        let deaf = self
+            .unshown
+            .iter()
+            .filter(|(_, u)| u.is_deaf(lease) && just(u));
+        deaf.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Whether a listed machine without a record has been one for so long.
     fn unheard(&mut self, id: &str, limit: Duration) -> bool {
         let first = self
@@ -200,8 +263,14 @@
             Some(e) if e.value == me => {}
             other => sign(node_key(node.name()), other.map_or(0, |e| e.version)),
         }
-        if view.fleet.is_none() {
-            sign(FLEET_KEY.to_string(), 0);
+        match &view.fleet {
+            None => sign(FLEET_KEY.to_string(), 0),
+            // An earlier run of this process rented, and its state lease still
+            // stands: it is surely over, and nobody else may rent till then.
+            Some(e) if e.value.node == me.node && e.value != me => {
+                sign(FLEET_KEY.to_string(), e.version);
+            }
+            Some(_) => {}
         }
     }
     if writes.is_empty() {
@@ -1022,7 +1091,11 @@
     let view = node.view.borrow();
     let hands = node.hands.borrow();
     let limit = node.settings.lease();
-    let mut leaving = Vec::new();
+    let deaf = node.fleet.borrow().deaf(limit, now);
+    let mut leaving: Vec<_> = deaf
+        .into_iter()
+        .map(|id| (id, Life::Returning, "reports, but hears nothing"))
+        .collect();
     for (id, hand) in hands.iter() {
         let life = match view.machines.get(id) {
             Some(m) if m.value.token == hand.token && m.value.incarnation == node.incarnation => {
@@ -1044,8 +1117,14 @@
             (false, true) => limit,
             (false, false) => limit * 2,
         };
+        let deaf = hand.deaf_since.is_some_and(|t| {
+            let limit = node.settings.lease() * 2;
+            now.saturating_duration_since(t) > limit
+        });
         if now.saturating_duration_since(hand.heard) > limit {
             leaving.push((id.clone(), Life::Returning, "silent"));
+        } else if deaf {
+            leaving.push((id.clone(), Life::Returning, "reports, but hears nothing"));
         } else if life == Life::Active && hand.failed_jobs.len() >= 2 {
             leaving.push((
                 id.clone(),
@@ -1276,7 +1355,9 @@
                 let covered = wanted.min(turnover * policy.rent_turnover(&facts) / cpus);
                 turnover -= covered * cpus / policy.rent_turnover(&facts).max(0.01);
                 wanted -= covered;
-                if wanted < 0.5 {
+                // So little follows in the room of what runs; but what has no
+                // place at all, and none to follow, would wait for ever.
+                if wanted < 0.5 && (planned.booked() > 0 || covered > 0.0) {
                     break;
                 }
             }
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -54,6 +54,8 @@
     pub report: Option<Report>,
     /// When anything at all came from the worker.
     pub heard: Instant,
+    /// When it was claimed.
+    pub claimed: Instant,
     /// When a beat was last answered with 200; the claim's time at first.
     pub answered: Instant,
     /// An `/orders` call is under way.
@@ -72,6 +74,13 @@
     pub failed_jobs: BTreeSet<String>,
     /// Direct orders go out again no sooner than this.
     pub quiet_until: Instant,
+    /// The newest beat, whatever its token. A worker has one beat in flight at
+    /// most: an older one is a late copy, and nobody waits for its answer.
+    pub newest_beat: (u64, u64),
+    /// The worker's session, and when this controller first saw it.
+    pub session: Option<(u64, Instant)>,
+    /// Since when its reports arrive while answers and orders do not.
+    pub deaf_since: Option<Instant>,
 }
 
 impl Hand {
@@ -81,6 +90,7 @@
             claimed_at,
             report: None,
             heard: now,
+            claimed: now,
             answered: now,
             in_flight: false,
             unresolved: false,
@@ -89,6 +99,57 @@
             stopped: HashMap::new(),
             failed_jobs: BTreeSet::new(),
             quiet_until: now,
+            newest_beat: (0, 0),
+            session: None,
+            deaf_since: None,
+        }
+    }
+
+    /// What holds whoever has the token, for the hand that follows this one.
+    pub fn follow(&mut self, earlier: &Hand) {
+        self.newest_beat = earlier.newest_beat;
+        self.session = earlier.session;
+        self.deaf_since = earlier.deaf_since;
+    }
+
+    /// Notes that a beat has come; false for a late copy, which tells nothing:
+    /// neither that the machine is alive, nor what runs there.
+    pub fn hear(&mut self, report: &Report, lease: Duration, now: Instant) -> bool {
+        let at = (report.session, report.seq);
+        if at <= self.newest_beat {
+            return false;
+        }
+        self.newest_beat = at;
+        self.see(report, lease, now);
+        true
+    }
+
+    /// Notes what a report, of whatever kind, says of the worker's session.
+    pub fn see(&mut self, report: &Report, lease: Duration, now: Instant) {
+        self.heard = now;
+        let since = |t: Instant| now.saturating_duration_since(t);
+        // A worker that takes our answers keeps its session, and shows our
+        // token within a lease.
+        let unshown = report.token < self.token && since(self.claimed) > lease;
+        match self.session {
+            Some((s, _)) if s < report.session => {
+                // Whatever was given to the earlier session is gone, and late
+                // orders for it are refused.
+                self.unresolved = false;
+                self.offered = None;
+                if since(self.answered) < lease && report.token == self.token {
+                    self.deaf_since = self.deaf_since.or(Some(now));
+                }
+                self.session = Some((report.session, now));
+            }
+            Some((_, first)) if !unshown && since(first) > lease.mul_f64(1.25) => {
+                self.deaf_since = None;
+            }
+            Some(_) => {}
+            None => self.session = Some((report.session, now)),
+        }
+        if unshown {
+            self.deaf_since = self.deaf_since.or(Some(now));
         }
     }
 
@@ -274,8 +335,10 @@
                 let task = format!("{job_id}/{n}");
                 let was_launched = hand.launched.contains(&(task.clone(), run.attempt));
                 // A gang's member that was there and is gone has broken the
-                // attempt; an independent task is simply launched again.
-                if !job.is_open() || run.stop || life != Life::Active || (gang && was_launched) {
+                // attempt; an independent task is simply launched again, but
+                // not where no order arrives.
+                let lost = run.stop || hand.deaf_since.is_some() || (gang && was_launched);
+                if !job.is_open() || life != Life::Active || lost {
                     plan.ends.push((key, Outcome::Lost));
                 } else if entry.version <= view.revision {
                     plan.orders
@@ -313,7 +376,7 @@
 /// Whether something on the machine has to end: its lease must not be renewed
 /// by one who cannot say so yet. A cancelled task would outlive `cancel_s` if
 /// its holder came back again and again before it could claim the machine.
-fn must_stop(report: &Report, view: &View) -> bool {
+pub fn must_stop(report: &Report, view: &View) -> bool {
     let ends = |job: &Job| !job.is_open();
     let reported = report.tasks.iter().any(|t| {
         let Some((id, n)) = split_task(&t.task) else {
@@ -482,9 +545,18 @@
         }
         let known = self.view.borrow().machines.get(&id).cloned();
         if let Some(m) = &known {
-            if m.value.life == Life::Gone {
+            if matches!(m.value.life, Life::Returning | Life::Gone) && !self.holds(&id) {
                 return Response::unavailable("machine was returned", 30);
             }
+            if !self.holds(&id) && (report.session, report.seq) <= m.value.seen {
+                return Response::unavailable("a newer report has come", 1);
+            }
+            let lease = self.settings.lease();
+            let mut fleet = self.fleet.borrow_mut();
+            if fleet.hears_nothing(&report, m.value.token, lease, now) {
+                return Response::unavailable("it does not hear", 1);
+            }
+            drop(fleet);
             if report.token > m.value.token {
                 // Someone has claimed it since; the view will tell who.
                 self.hands.borrow_mut().remove(&id);
@@ -534,7 +606,9 @@
         let recalled = report.notice_s.is_some();
         let at = (report.session, report.seq);
         if let Some(hand) = self.hands.borrow_mut().get_mut(&id) {
-            hand.heard = now;
+            if !hand.hear(&report, self.settings.lease(), now) {
+                return Response::unavailable("a newer report has come", 1);
+            }
             let first = hand.report.is_none();
             if hand.take(report, true) && first {
                 self.rooms_wanted.notify_one();
@@ -641,7 +715,7 @@
 async fn claim_some(node: &Node) -> Result<(), StoreError> {
     let ops = node.settings.deployment.state.txn_ops;
     let mut wanted: Vec<String> = Vec::new();
-    let mut taken: Vec<(String, u64)> = Vec::new();
+    let mut taken: Vec<(String, u64, (u64, u64))> = Vec::new();
     let (guards, writes);
     {
         let view = node.view.borrow();
@@ -696,7 +770,8 @@
             machine.token = machine.token.max(report.token) + 1;
             machine.holder = node.name().to_string();
             machine.incarnation = node.incarnation;
-            taken.push((id.clone(), machine.token));
+            machine.seen = machine.seen.max((report.session, report.seq));
+            taken.push((id.clone(), machine.token, machine.seen));
             groups.put(id, machine);
         }
         (guards, writes) = groups.into_commit();
@@ -715,10 +790,16 @@
             }
         };
         let now = Instant::now();
-        for (id, token) in taken {
+        for (id, token, seen) in taken {
             tracing::info!(machine = id, token, "claimed");
             let mut hands = node.hands.borrow_mut();
-            let hand = Hand::new(token, revision, now);
+            let mut hand = Hand::new(token, revision, now);
+            if let Some(earlier) = hands.get(&id) {
+                hand.follow(earlier);
+            }
+            // The report that asked for the claim is taken yet.
+            let before = (seen.0, seen.1.saturating_sub(1));
+            hand.newest_beat = hand.newest_beat.max(before);
             hands.insert(id, hand);
         }
     }
@@ -824,7 +905,7 @@
     match result {
         Ok(r) if r.status == 200 || r.status == 409 => match r.parse::<Report>() {
             Ok(report) => {
-                hand.heard = now;
+                hand.see(&report, node.settings.lease(), now);
                 if report.token > token {
                     tracing::info!(machine = id, "has seen a higher token");
                     hands.remove(&id);
@@ -993,9 +1074,11 @@
         }
         let known = view.slot(id);
         // What has not been heard for most of a lease takes no new work until
-        // it is heard again; nor does what is to leave.
-        let quiet = now.saturating_duration_since(hand.heard) > quiet;
-        let slot = if m.life != Life::Active || quiet {
+        // it is heard again; nor does what does not hear us, or is to leave.
+        let unshown = hand.report.is_none()
+            && now.saturating_duration_since(hand.claimed) > node.settings.report() * 2;
+        let quiet = unshown || now.saturating_duration_since(hand.heard) > quiet;
+        let slot = if m.life != Life::Active || quiet || hand.deaf_since.is_some() {
             None
         } else {
             let (Some(report), Some(kind)) = (&hand.report, view.type_of(&m.kind)) else {
--- a/src/model.rs
+++ b/src/model.rs
@@ -657,7 +657,7 @@
 /// The most that a machine takes of its group's record: names, quotes and
 /// marks, the incarnation and the token.
 pub fn machine_bytes(machine: &str, kind: &str, holder: usize) -> usize {
-    machine.len() + kind.len() + holder + 85
+    machine.len() + kind.len() + holder + 110
 }
 
 /// One machine, as its group has it.
@@ -671,6 +671,10 @@
     pub incarnation: u64,
     #[serde(rename = "k", default)]
     pub token: u64,
+    /// Session and number of the report that it was last claimed on: one that
+    /// is no newer is a late copy, whoever it comes to.
+    #[serde(rename = "s", default)]
+    pub seen: (u64, u64),
     #[serde(rename = "f")]
     pub life: Life,
     #[serde(rename = "t")]
@@ -693,6 +697,7 @@
             holder: String::new(),
             incarnation: 0,
             token: 0,
+            seen: (0, 0),
             life: Life::Booting,
             kind: kind.to_string(),
             zone: zone.to_string(),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -431,6 +431,7 @@
         holder: "n0".into(),
         incarnation: 1,
         token: 5,
+        seen: (0, 0),
         life: Life::Active,
         kind: "small".into(),
         zone: "a".into(),
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -242,6 +242,110 @@
     });
 }
 
+/// A machine whose reports arrive while answers and orders do not: its work
+/// starts elsewhere once its end is proven, it gets no new work and goes back.
+#[test]
+fn a_machine_that_hears_nothing_is_replaced() {
+    in_world(|| async {
+        let w = World::new(12).await;
+        let service = w.submit(job(1, "daemon", 2, 0.0)).await;
+        w.until(&service, "running", 100).await;
+        sleep(Duration::from_secs(5)).await;
+        let name = w.machine_of(&service);
+        let worker = w.workers.borrow()[&name].0.clone();
+        worker.deaf.set(true);
+        sleep(Duration::from_secs(25)).await;
+        let after = w.running(&service);
+        assert_eq!(after, 2, "its replica does not run elsewhere");
+        let array = w.submit(job(2, "batch", 4, 3.0)).await;
+        w.until(&array, "done", 100).await;
+        sleep(Duration::from_secs(10)).await;
+        assert!(!w.workers.borrow().contains_key(&name), "still rented");
+        w.assert_kept();
+    });
+}
+
+/// One that hears again before it has gone back is used again.
+#[test]
+fn a_machine_that_hears_again_is_used_again() {
+    in_world(|| async {
+        let w = World::new(13).await;
+        let service = w.submit(job(1, "daemon", 2, 0.0)).await;
+        w.until(&service, "running", 100).await;
+        sleep(Duration::from_secs(5)).await;
+        let name = w.machine_of(&service);
+        let worker = w.workers.borrow()[&name].0.clone();
+        worker.deaf.set(true);
+        sleep(Duration::from_secs(3)).await;
+        worker.deaf.set(false);
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(w.running(&service), 2);
+        assert_eq!(w.machine_of(&service), name, "moved without need");
+        // Its room serves others, too, once the service is over.
+        assert_eq!(w.withdraw(0, &service).await.as_deref(), Some("aborted"));
+        let array = w.submit(job(2, "batch", 2, 20.0)).await;
+        w.until(&array, "running", 60).await;
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(w.machine_of(&array), name);
+        w.assert_kept();
+    });
+}
+
+/// Late copies of reports, at every controller and at one that has just come
+/// back: no end, no release and no launch comes from one.
+#[test]
+fn late_copies_of_reports_change_nothing() {
+    in_world(|| async {
+        let w = World::new(14).await;
+        let service = w.submit(job(1, "daemon", 2, 0.0)).await;
+        let array = w.submit(job(2, "batch", 6, 4.0)).await;
+        w.until(&array, "done", 100).await;
+        sleep(Duration::from_secs(3)).await;
+        let name = w.machine_of(&service);
+        let beats = w.workers.borrow()[&name].0.sent.borrow().clone();
+        let before = w.starts.get();
+        w.kill(0);
+        w.start(0);
+        for i in 0..CONTROLLERS {
+            w.replay(i, &beats).await;
+        }
+        sleep(Duration::from_secs(15)).await;
+        assert_eq!((w.running(&service), w.starts.get()), (2, before));
+        // The machine dies; the copies do not keep it believed alive.
+        w.lose(&name);
+        for _ in 0..4 {
+            sleep(Duration::from_secs(4)).await;
+            for i in 0..CONTROLLERS {
+                w.replay(i, &beats).await;
+            }
+        }
+        sleep(Duration::from_secs(20)).await;
+        assert_eq!(w.running(&service), 2, "not replaced");
+        w.assert_kept();
+    });
+}
+
+/// A renter that is back at once finds its own state lease still standing.
+#[test]
+fn a_renter_that_is_back_at_once_rents_on() {
+    in_world(|| async {
+        let w = World::new(15).await;
+        let first = w.submit(job(1, "batch", 2, 2.0)).await;
+        w.until(&first, "done", 100).await;
+        // In the middle of a rental: the intent is committed, the answer lost.
+        let gang = w.submit(job(2, "gang", 5, 5.0)).await;
+        sleep(Duration::from_millis(700)).await;
+        for i in 0..CONTROLLERS {
+            w.kill(i);
+            w.start(i);
+        }
+        w.until(&gang, "done", 60).await;
+        let rented = w.workers.borrow().len();
+        assert!(rented <= 5, "{rented} machines for five tasks");
+        w.assert_kept();
+    });
+}
+
 #[test]
 fn operators_are_told_what_is_undone_and_why() {
     in_world(|| async {
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -227,6 +227,10 @@
     tasks: RefCell<BTreeMap<String, Task>>,
     /// Rejects every task it starts.
     pub sick: Cell<bool>,
+    /// Its reports arrive, but no answer and no order reaches it.
+    pub deaf: Cell<bool>,
+    /// Beats it has sent, for copies that come late.
+    pub sent: RefCell<Vec<Vec<u8>>>,
 }
 
 impl Worker {
@@ -315,6 +319,8 @@
     controllers: RefCell<Vec<Option<JoinHandle<()>>>>,
     client: Client,
     seed: u64,
+    /// How often controllers were started.
+    runs: Cell<u64>,
 }
 
 const LIMITS: ServerLimits = ServerLimits {
@@ -342,6 +348,7 @@
             controllers: RefCell::new((0..CONTROLLERS).map(|_| None).collect()),
             client,
             seed,
+            runs: Cell::new(0),
         });
         let net = |a: &str| Net::Fabric(fabric.clone(), addr(a));
         let (state, cloud) = (world.state.clone(), world.clone());
@@ -372,7 +379,10 @@
 
     pub fn start(&self, i: usize) {
         let net = Net::Fabric(self.fabric.clone(), controller(i));
-        let node = Node::new(settings(i), net, self.seed + i as u64);
+        // Another run of the process draws other numbers.
+        self.runs.set(self.runs.get() + 1);
+        let seed = self.seed * 1000 + self.runs.get();
+        let node = Node::new(settings(i), net, seed);
         // A set of its own: all that the controller spawned ends with it.
         let set = LocalSet::new();
         set.spawn_local(async move {
@@ -495,6 +505,8 @@
             renewed: Cell::new(Instant::now()),
             tasks: RefCell::default(),
             sick: Cell::new(false),
+            deaf: Cell::new(false),
+            sent: RefCell::default(),
         });
         let tasks = vec![
             spawn_local(self.clone().listen(worker.clone())),
@@ -533,6 +545,9 @@
                 let Ok(orders) = serde_json::from_slice::<Orders>(&r.body) else {
                     return Response::empty(400);
                 };
+                if w.deaf.get() {
+                    std::future::pending::<()>().await;
+                }
                 if orders.token < w.token.get() || orders.session != w.session.get() {
                     return Response::json(409, &w.report());
                 }
@@ -555,6 +570,7 @@
             let session = w.session.get();
             let sent = Instant::now();
             let body = serde_json::to_vec(&w.report()).expect("report");
+            w.sent.borrow_mut().push(body.clone());
             let call = client.call(
                 controller(to),
                 "POST",
@@ -563,8 +579,15 @@
                 Duration::from_secs(4),
             );
             let answer = call.await;
+            if w.deaf.get() {
+                sleep(Duration::from_secs(4).saturating_sub(sent.elapsed())).await;
+            }
             w.expire(Duration::from_secs(10));
             match answer {
+                _ if w.deaf.get() => {
+                    to = (to + 1) % CONTROLLERS;
+                    sleep(Duration::from_secs(1)).await;
+                }
                 Ok(r) if r.status == 200 => {
                     let a: BeatAnswer = r.parse().expect("answer");
                     if a.token >= w.token.get() && session == w.session.get() {
@@ -593,6 +616,18 @@
         }
     }
 
+    /// Late copies of all that a worker has ever reported, to one controller.
+    pub async fn replay(&self, i: usize, beats: &[Vec<u8>]) {
+        for body in beats {
+            let body = Some(body.clone());
+            let limit = Duration::from_secs(5);
+            let call = self
+                .client
+                .call(controller(i), "POST", "/agent/beat", body, limit);
+            let _ = call.await;
+        }
+    }
+
     // --- users ---------------------------------------------------------------
 
     pub async fn ask(
@@ -682,6 +717,19 @@
             .sum()
     }
 
+    /// A machine that runs a task of the job.
+    pub fn machine_of(&self, id: &str) -> String {
+        let workers = self.workers.borrow();
+        let found = workers.iter().find(|(_, (w, _))| {
+            let tasks: Vec<String> = w.tasks.borrow().keys().cloned().collect();
+            let mut of_job = tasks.iter().filter(|t| t.starts_with(&format!("{id}/")));
+            of_job.any(|t| w.runs(t))
+        });
+        found
+            .map(|(name, _)| name.clone())
+            .expect("it runs somewhere")
+    }
+
     pub fn assert_kept(&self) {
         assert!(
             self.broken.borrow().is_empty(),
