--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1187,7 +1187,10 @@
     let now = Instant::now();
     let view = node.view.borrow();
     let mut fleet = node.fleet.borrow_mut();
-    let orphaned = node.settings.lease() * 2;
+    // A zone that is cut off has all its machines held by controllers that are
+    // cut off with it: they come back together, and to return them would be to
+    // rent a third of the fleet anew.
+    let orphaned = node.settings.lease() * 3;
     let plan = Plan::of(&view);
     let kept = headroom(node, &view, &plan);
     let mut spare = spare_places(&view, &plan);
