--- a/src/placement.rs
+++ b/src/placement.rs
@@ -599,10 +599,17 @@
     };
     let inside = spec.kind != Kind::Array
         && admission::within_guarantee(terms, &coming.used(&spec.team), spec, tasks);
-    let borrows = |team: &str, plan: &Plan| {
+    // What would stay within its team's guarantee, were it stopped, is not
+    // borrowed: its team would have it back, and stop other work for it.
+    let borrowed = |victim: &Spec, plan: &Plan| {
+        let tasks = if victim.is_gang() {
+            victim.tasks as usize
+        } else {
+            1
+        };
         settings
-            .team(team)
-            .is_some_and(|t| !t.guarantees(&plan.used(team)))
+            .team(&victim.team)
+            .is_some_and(|t| t.lends(&plan.used(&victim.team), &victim.need.times(tasks)))
     };
     let mut candidates = Vec::new();
     for (_, other) in &view.open {
@@ -617,7 +624,7 @@
         let Some(victim) = &entry.spec else {
             continue;
         };
-        if !admission::may_preempt(spec, inside, victim, borrows(&victim.team, coming)) {
+        if !admission::may_preempt(spec, inside, victim, borrowed(victim, coming)) {
             continue;
         }
         // Work on accelerators is the last to go for work without.
@@ -653,7 +660,7 @@
         let mut left = run.tasks.len();
         while left > 0 {
             // Borrowed work counts as borrowed only down to the guarantee.
-            if !admission::may_preempt(spec, inside, victim, borrows(&victim.team, &after)) {
+            if !admission::may_preempt(spec, inside, victim, borrowed(victim, &after)) {
                 break;
             }
             let n = if whole { left } else { 1 };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -82,6 +82,15 @@
         cpus.is_none_or(|c| used.cpus <= c) && gpus.is_none_or(|g| used.gpus <= g)
     }
 
+    /// True when the team is beyond its guarantee by as much as `part`, so that
+    /// it still has all of it when that part is taken away.
+    pub fn lends(&self, used: &Room, part: &Room) -> bool {
+        let g = self.guarantee();
+        let rest = *used - *part;
+        let on_gpus = part.gpus.0 > 0 && g.gpus.0 > 0;
+        rest.cpus >= g.cpus || (on_gpus && rest.gpus >= g.gpus)
+    }
+
     /// True when `used` stays within the team's guarantee. Work that uses
     /// no accelerator is not held against a missing accelerator guarantee.
     pub fn guarantees(&self, used: &Room) -> bool {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -172,7 +172,9 @@
         for (k, v) in edit {
             s[*k] = v.clone();
         }
-        let s = read_submission(s.to_string().as_bytes()).expect("well formed");
+        let Ok(s) = read_submission(s.to_string().as_bytes()) else {
+            return 400;
+        };
         match check_submission(&s, &set, view) {
             Ok(_) => 201,
             Err(Refusal::Malformed(_)) => 400,
@@ -194,6 +196,25 @@
         (&[("boards", json!(9))], 422),
         (&[("boards", json!(9)), ("cut", json!("batch"))], 201),
         (&[("boards", json!(9)), ("cut", json!("daemon"))], 422),
+        // At the bounds: as many tasks as there may be, and one more; a gang
+        // and a service that fill the team's limit, in one zone or spread.
+        (&[("boards", json!(100_000)), ("cut", json!("batch"))], 201),
+        (&[("boards", json!(100_001)), ("cut", json!("batch"))], 400),
+        (&[("boards", json!(0))], 400),
+        (&[("boards", json!(-1))], 400),
+        (&[("boards", json!(1.5))], 400),
+        (&[("boards", json!(8))], 201),
+        (
+            &[
+                ("boards", json!(8)),
+                ("cut", json!("daemon")),
+                ("scatter", json!(true)),
+            ],
+            201,
+        ),
+        (&[("vcpus", json!("2"))], 400),
+        (&[("ram_gb", json!(65.0))], 422),
+        (&[("name_id", json!("job-"))], 400),
     ];
     for (edit, status) in cases {
         assert_eq!(check(edit, &view), *status, "{edit:?}");
@@ -736,3 +757,269 @@
     }
     assert!(job.attempt > 1);
 }
+
+/// What is stopped for a guarantee must not be within its own team's: the two
+/// would stop one another for ever (13 stops a gang on a measured day).
+#[test]
+fn a_team_lends_only_what_it_would_not_have_back() {
+    let set = settings();
+    let team = set.team("t").expect("team");
+    let room = |cpus: f64| Room {
+        cpus: Amount::room(cpus),
+        ..Room::default()
+    };
+    // 8 CPUs are guaranteed.
+    for (used, part, lends) in [
+        (8.0, 2.0, false),
+        (9.0, 2.0, false),
+        (10.0, 2.0, true),
+        (16.0, 8.0, true),
+        (15.0, 8.0, false),
+    ] {
+        assert_eq!(team.lends(&room(used), &room(part)), lends, "{used} {part}");
+    }
+}
+
+/// A job that has never begun goes first after a bound, however the policy
+/// ranks it; one that was stopped does not push back in that way.
+#[test]
+fn nothing_waits_beyond_the_bound() {
+    let set = settings();
+    let mut view = view_with(&[("a", "m1", 8.0)]);
+    let small = Job::new(spec(Kind::Gang, 1, 1.0), 5);
+    let large = Job::new(spec(Kind::Gang, 8, 2.0), 6);
+    let mut stopped = large.clone();
+    stopped.attempt = 1;
+    let events = [("job-1", &small), ("job-2", &large), ("job-3", &stopped)];
+    let events = events.map(|(id, job)| Event::put(job_key(id), job, 7));
+    view.advance(events.to_vec(), 8);
+    let now = Instant::now();
+    let bound = Duration::from_secs_f64(set.starving_s());
+    for (age, first) in [
+        (Duration::ZERO, "job-1"),
+        (bound / 2, "job-1"),
+        (bound + Duration::from_secs(1), "job-2"),
+    ] {
+        let later = now + bound * 2;
+        let ages = ["job-2", "job-3"].map(|id| (id.to_string(), later - age));
+        let mut ages: admission::Ages = ages.into_iter().collect();
+        ages.insert("job-1".into(), later);
+        let queue = admission::queue(&view, &Plan::of(&view), &set, &ages, later);
+        assert_eq!(queue[0], first, "{age:?}: {queue:?}");
+    }
+}
+
+/// The first large gang in line has its room kept from what comes behind it,
+/// in the zone that has the most of it, and there only.
+#[test]
+fn room_is_held_for_a_large_gang() {
+    let view = view_with(&[
+        ("a", "m1", 4.0),
+        ("a", "m2", 4.0),
+        ("b", "m3", 4.0),
+        ("b", "m4", 1.0),
+    ]);
+    let gang = Spec {
+        one_zone: true,
+        ..spec(Kind::Gang, 3, 4.0)
+    };
+    let mut plan = Plan::of(&view);
+    admission::hold_room(&gang, &mut plan, &hints(&view));
+    let free = |m: &str| {
+        plan.spots[plan.find(&view, m).expect("spot")]
+            .free
+            .cpus
+            .units()
+    };
+    assert_eq!(["m1", "m2", "m3", "m4"].map(free), [0.0, 0.0, 4.0, 1.0]);
+}
+
+/// Machines of a zone stand in parts that stay within `value_kb`, each machine
+/// in one of its home's; two controllers that take up the same new machine at
+/// once cannot both succeed.
+#[test]
+fn a_large_zone_stands_in_parts() {
+    let set = settings();
+    let mut view = view_with_types();
+    let mut version = 10;
+    for n in 0..400 {
+        let name = format!("host-{n:06}");
+        let mut groups = shelfhoist::draft::Groups::new(&view);
+        let machine = Machine {
+            part: groups.new_part(&set, &name, "grande-occhio", "a"),
+            holder: "n0".into(),
+            incarnation: u64::from(u32::MAX),
+            token: 1_000_000,
+            seen: (1000, 1_000_000),
+            spot: true,
+            ..Machine::new("grande-occhio", "a")
+        };
+        groups.put(&name, machine);
+        let (guards, writes) = groups.into_commit();
+        version += 1;
+        for w in &writes {
+            let Write::Put { key, value, .. } = w else {
+                panic!("{w:?}");
+            };
+            assert!(
+                value.get().len() <= set.value_bytes(),
+                "{}",
+                value.get().len()
+            );
+            assert!(guards.iter().any(|g| g.key == *key), "{key} is not guarded");
+        }
+        // Every part of the home is a condition, and the next that is not yet.
+        let home = set.home(&name, "a");
+        let parts = view
+            .groups
+            .keys()
+            .filter(|k| k.starts_with(&format!("a/{home}.")));
+        assert!(guards.len() > parts.count().saturating_sub(1), "{guards:?}");
+        view.overlay(&writes, version);
+    }
+    assert_eq!(view.machines.len(), 400);
+    let listed: usize = view.groups.values().map(|g| g.value.machines.len()).sum();
+    assert_eq!(listed, 400, "each stands in one part");
+    assert!(view.groups.len() > 4, "{}", view.groups.len());
+}
+
+/// Task numbers are text in a record, and what is not a set is refused.
+#[test]
+fn ranges_are_written_as_text() {
+    for (ranges, text) in [
+        (vec![], "\"\""),
+        (vec![(7, 7)], "\"7\""),
+        (vec![(0, 4), (6, 6), (8, 1799)], "\"0-4,6,8-1799\""),
+    ] {
+        let ranges = Ranges(ranges);
+        assert_eq!(serde_json::to_string(&ranges).expect("text"), text);
+        assert_eq!(
+            serde_json::from_str::<Ranges>(text).expect("ranges"),
+            ranges
+        );
+    }
+    for text in ["\"a\"", "\"4-2\"", "\"1--2\"", "[[0,1]]"] {
+        assert!(serde_json::from_str::<Ranges>(text).is_err(), "{text}");
+    }
+}
+
+/// Jobs accepted together stand in one record until each has its own, which
+/// counts from then on, whatever comes later or twice.
+#[test]
+fn arrivals_stand_for_their_jobs() {
+    let mut view = view_with_types();
+    let mut cancelled = Job::new(spec(Kind::Array, 1, 1.0), 1);
+    cancelled.cancel();
+    let new = |ids: &[&str]| Arrivals {
+        born: 1,
+        jobs: ids
+            .iter()
+            .map(|id| (id.to_string(), spec(Kind::Array, 2, 1.0)))
+            .collect(),
+    };
+    let key = shelfhoist::view::arrivals_key;
+    view.advance(vec![Event::put(key("x"), &new(&["job-1", "job-2"]), 5)], 5);
+    assert_eq!((view.job_version("job-1"), view.open.len()), (0, 2));
+    view.advance(vec![Event::put(job_key("job-1"), &cancelled, 6)], 6);
+    // A commit without an answer that was carried out late.
+    view.advance(vec![Event::put(key("y"), &new(&["job-1", "job-2"]), 7)], 7);
+    assert!(!view.jobs["job-1"].value.is_open(), "a final state changed");
+    assert_eq!((view.job_version("job-1"), view.open.len()), (6, 1));
+}
+
+/// A holder that cannot give orders yet renews no lease where something has
+/// to end: a cancelled task would live on.
+#[test]
+fn leases_are_not_renewed_by_who_cannot_stop() {
+    let running = json!([{"board":"job-1/0","try":1,"stage":"running"}]);
+    let other = json!([{"board":"job-9/0","try":1,"stage":"running"}]);
+    let ended = json!([{"board":"job-9/0","try":1,"stage":"ended","cause":"done"}]);
+    let open = held(Kind::Service, |_| {});
+    let over = held(Kind::Service, Job::cancel);
+    for (view, tasks, must_stop) in [
+        (&open, &running, false),
+        (&over, &running, true),
+        (&over, &json!([]), true),
+        (&open, &other, true),
+        (&open, &ended, false),
+    ] {
+        let report = report(3, 5, tasks.clone());
+        assert_eq!(
+            shelfhoist::machines::must_stop(&report, view),
+            must_stop,
+            "{tasks}"
+        );
+    }
+}
+
+/// Reports that arrive while answers do not: a session that rises although its
+/// beats were answered, or a token that is not taken up.
+#[test]
+fn a_worker_that_hears_nothing_is_found_out() {
+    let lease = Duration::from_secs(10);
+    let at = |start: Instant, s: f64| start + Duration::from_secs_f64(s);
+    // (seconds, session, number, token) and whether it is deaf after that.
+    type Beat = (f64, u64, u64, u64, bool);
+    let cases: &[(&str, &[Beat])] = &[
+        ("well", &[(1.0, 1, 1, 5, false), (12.0, 1, 12, 5, false)]),
+        (
+            "deaf",
+            &[
+                (1.0, 1, 1, 5, false),
+                (9.0, 1, 9, 5, false),
+                (12.0, 2, 12, 5, true),
+            ],
+        ),
+        (
+            "silent, then back",
+            &[(1.0, 1, 1, 5, false), (40.0, 2, 2, 5, false)],
+        ),
+        (
+            "hears again",
+            &[
+                (1.0, 1, 1, 5, false),
+                (9.0, 1, 9, 5, false),
+                (12.0, 2, 12, 5, true),
+                (20.0, 2, 20, 5, true),
+                (26.0, 2, 26, 5, false),
+            ],
+        ),
+        (
+            "token not taken up",
+            &[(1.0, 1, 1, 4, false), (11.0, 1, 11, 4, true)],
+        ),
+    ];
+    for (name, beats) in cases {
+        let start = Instant::now();
+        let mut hand = Hand::new(5, 1, start);
+        for (n, (s, session, seq, token, deaf)) in beats.iter().enumerate() {
+            let now = at(start, *s);
+            let beat = Report {
+                session: *session,
+                ..report(*seq, *token, json!([]))
+            };
+            assert!(hand.hear(&beat, lease, now), "{name} {n}");
+            hand.answered = now;
+            assert_eq!(hand.deaf_since.is_some(), *deaf, "{name} {n}");
+            // The same again, or an older one, is a late copy.
+            assert!(!hand.hear(&beat, lease, at(start, s + 500.0)), "{name} {n}");
+            assert_eq!(hand.heard, now, "{name} {n}: a copy kept it alive");
+        }
+    }
+}
+
+/// The writes that all controllers may make are shared by what each would.
+#[test]
+fn writes_are_shared_by_demand() {
+    let share = shelfhoist::store::write_share;
+    let even = share(30.0, 5.0, &[Some(5.0); 4]);
+    assert!((even - 6.0).abs() < 0.01, "{even}");
+    assert!(share(30.0, 9.0, &[Some(1.0); 4]) > 12.0);
+    assert!(share(30.0, 0.0, &[Some(9.0); 4]) < 2.0);
+    // Those not heard of may be writing all the same.
+    assert!(share(30.0, 9.0, &[None; 4]) < 12.0);
+    for mine in [0.0, 1.0, 30.0, 1e6] {
+        let s = share(30.0, mine, &[Some(0.0); 4]);
+        assert!((1.5..=18.0).contains(&s), "{mine}: {s}");
+    }
+}
