--- a/src/draft.rs
+++ b/src/draft.rs
@@ -19,6 +19,22 @@
 /// Conditions that a commit may have for each of its writes, by the protocol.
 const GUARDS_PER_WRITE: usize = 4;
 
+/// What a commit may hold in all, by the protocol, less a part for what the
+/// estimates below leave out.
+pub const COMMIT_BYTES: usize = crate::http::BODY_LIMIT * 9 / 10;
+
+/// About what a machine takes in a part's record, and in a group's.
+pub const SLOT: usize = 110;
+const MEMBER: usize = 125;
+
+/// About what a job takes in its record.
+fn job_bytes(job: &Job) -> usize {
+    const SPEC: usize = 500;
+    const RUN: usize = 100;
+    const TASK: usize = 8;
+    SPEC + job.runs.len() * RUN + (job.booked() + job.retry.len()) * TASK
+}
+
 pub struct Draft<'a> {
     view: &'a View,
     /// The most records that one commit may write.
@@ -76,7 +92,34 @@
         self.jobs.get(id).or_else(known)
     }
 
-    fn has_room(&self, job: &str, team: Option<&str>, parts: &BTreeSet<&str>) -> bool {
+    /// About how long it is as a request.
+    fn bytes(&self) -> usize {
+        let jobs: usize = self.jobs.values().map(job_bytes).sum();
+        let slots: usize = self.parts.values().map(|p| p.machines.len()).sum();
+        jobs + slots * SLOT + (self.len() + self.groups.len()) * SLOT
+    }
+
+    fn has_room(
+        &self,
+        job: &str,
+        team: Option<&str>,
+        parts: &BTreeSet<&str>,
+        tasks: usize,
+    ) -> bool {
+        let machines = |p: &str| self.view.parts.get(p).map_or(0, |e| e.value.machines.len());
+        let more: usize = parts
+            .iter()
+            .filter(|p| !self.parts.contains_key(**p))
+            .map(|p| machines(p) * SLOT)
+            .sum();
+        let job_now = if self.jobs.contains_key(job) {
+            0
+        } else {
+            self.job(job).map_or(0, job_bytes)
+        };
+        if self.bytes() + more + job_now + tasks * SLOT > COMMIT_BYTES {
+            return false;
+        }
         let new = usize::from(!self.jobs.contains_key(job))
             + usize::from(team.is_some_and(|t| !self.teams.contains_key(t)))
             + parts
@@ -148,7 +191,7 @@
         // Neither the team's record nor the part's is written: what ends is
         // known to all from the job's, and the next booking there counts it.
         let most = self.most * (GUARDS_PER_WRITE - 1);
-        if !self.has_room(&key.job, None, &BTreeSet::new())
+        if !self.has_room(&key.job, None, &BTreeSet::new(), 0)
             || (self.groups.len() >= most && !self.groups.contains(&group))
         {
             return Released::Full;
@@ -165,7 +208,8 @@
     /// Books a job's waiting tasks; false when the commit is full.
     pub fn book(&mut self, id: &str, spec: &Spec, places: &[Place]) -> bool {
         let parts: BTreeSet<&str> = places.iter().map(|p| &*p.part).collect();
-        if !self.has_room(id, Some(&spec.team), &parts) {
+        let machines: BTreeSet<usize> = places.iter().map(|p| p.at).collect();
+        if !self.has_room(id, Some(&spec.team), &parts, machines.len()) {
             return false;
         }
         let Some(job) = self.edit_job(id) else {
@@ -188,7 +232,12 @@
     /// Changes jobs alone; false when the commit is full.
     pub fn fits_jobs<'b>(&self, ids: impl Iterator<Item = &'b str>) -> bool {
         let new: BTreeSet<&str> = ids.filter(|id| !self.jobs.contains_key(*id)).collect();
-        self.len() + new.len() <= self.most
+        let more: usize = new
+            .iter()
+            .filter_map(|id| self.job(id))
+            .map(job_bytes)
+            .sum();
+        self.len() + new.len() <= self.most && self.bytes() + more <= COMMIT_BYTES
     }
 
     pub fn change(&mut self, id: &str, edit: impl FnOnce(&mut Job)) {
@@ -274,7 +323,22 @@
     /// Whether a commit of `ops` writes, with its conditions, can hold no more.
     pub fn is_full(&self, ops: usize) -> bool {
         let guards = self.edited.len() + self.guarded.len();
-        self.edited.len() >= ops || guards >= ops * (GUARDS_PER_WRITE - 1)
+        // The next may bring a whole group with it.
+        let largest = self
+            .view
+            .groups
+            .values()
+            .map(|g| g.value.machines.len())
+            .max();
+        let largest = largest.unwrap_or(0).max(1);
+        let bytes = self.bytes() + (largest + guards) * MEMBER;
+        bytes > COMMIT_BYTES || self.edited.len() >= ops || guards >= ops * (GUARDS_PER_WRITE - 1)
+    }
+
+    /// About how long it is as a request.
+    pub fn bytes(&self) -> usize {
+        let all: usize = self.edited.values().map(|g| g.machines.len()).sum();
+        all * MEMBER
     }
 
     pub fn has(&self, id: &str) -> bool {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::admission::{self, Care, Hints, Plan};
-use crate::draft::Groups;
+use crate::draft::{COMMIT_BYTES, Groups};
 use crate::http::Response;
 use crate::model::{Hire, Job, Life, Machine, Part, Renter, Room, Spec, Types};
 use crate::node::{Node, guard, put};
@@ -397,9 +397,10 @@
                 Life::Returning => *life == Life::Gone,
                 _ => machine.life != *life,
             };
-            // A group and perhaps its part.
+            // A group and perhaps its part, which is about as long.
             let part = part_id(&machine.zone, &machine.part);
-            if !onward || (!groups.has(&part) && groups.len() + parts.len() + 2 > ops) {
+            let full = groups.is_full(ops / 2) || groups.bytes() > COMMIT_BYTES / 3;
+            if !onward || (!groups.has(&part) && full) {
                 continue;
             }
             machine.life = *life;
@@ -460,6 +461,7 @@
     let ops = node.settings.deployment.state.txn_ops;
     let mut guards = Vec::new();
     let mut writes = Vec::new();
+    let mut bytes = 0;
     for (id, entry) in view.jobs_on(machine) {
         let saves = entry
             .value
@@ -471,7 +473,8 @@
             .runs
             .iter()
             .all(|r| r.machine != machine || r.stop);
-        if !saves || told || !entry.value.is_open() || writes.len() == ops {
+        let full = writes.len() == ops || bytes > COMMIT_BYTES / 2;
+        if !saves || told || !entry.value.is_open() || full {
             continue;
         }
         let mut job = entry.value.clone();
@@ -482,7 +485,11 @@
             }
         }
         guards.push(guard(job_key(id), entry.version));
-        writes.push(put(job_key(id), &job));
+        let write = put(job_key(id), &job);
+        if let Write::Put { value, .. } = &write {
+            bytes += value.get().len();
+        }
+        writes.push(write);
     }
     (guards, writes)
 }
@@ -988,7 +995,7 @@
         let group = part_id(&machine.zone, &machine.part);
         let new = usize::from(!groups.has(&group))
             + usize::from(hire.is_some_and(|(h, _)| !hires.contains_key(h)));
-        if groups.len() + hires.len() + new > ops {
+        if groups.len() + hires.len() + new > ops || (!groups.has(&group) && groups.is_full(ops)) {
             continue;
         }
         groups.edit(&group).remove(id);
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::draft::Groups;
+use crate::draft::{COMMIT_BYTES, Groups};
 use crate::http::{CallError, Response};
 use crate::model::{Job, Life, Machine, Outcome, Part, Room, Slot, Spec, split_task};
 use crate::node::{Node, guard, put};
@@ -453,8 +453,7 @@
     /// The controller that the machine belongs to, if it is up and another
     /// than this: that of its part, where the commits on its work meet no
     /// others, or one in its own zone, as reports that cross no zone survive
-    /// when zones are apart. Sent there seldom, as the worker may not reach
-    /// it, and only a few in a while, as each costs that one a claim.
+    /// when zones are apart. Each is sent there seldom, as it may not reach it.
     fn nearer(&self, report: &Report, now: Instant) -> Option<String> {
         let view = self.view.borrow();
         let machine = view.machines.get(&report.machine).map(|e| &e.value);
@@ -470,18 +469,18 @@
         if home == self.name() {
             return None;
         }
-        // While machines wait to be claimed none is moved that has a holder.
-        let ours = self.settings.zone == report.zone;
         let pause = self.settings.lease() * 3;
         let mut fleet = self.fleet.borrow_mut();
         let recent = fleet.sent_home.get(&report.machine);
         if recent.is_some_and(|t| now.saturating_duration_since(*t) < pause) {
             return None;
         }
-        // One that nobody holds yet costs no more there than here.
+        // One that nobody holds yet costs no more there than here. Of the
+        // others a few at a time, and none while machines wait to be claimed:
+        // after a restart of many, all workers stand at the first that is up.
         let free = machine.is_none_or(|m| m.holder.is_empty());
         if !free {
-            let gap = self.request_gap() * if ours { 64 } else { 16 };
+            let gap = self.request_gap() / 4;
             let last = fleet.last_sent_home;
             if !self.claims.borrow().is_empty()
                 || last.is_some_and(|t| now.saturating_duration_since(t) < gap)
@@ -696,8 +695,8 @@
 pub async fn keep_claims(node: Rc<Node>) {
     loop {
         node.claims_wanted.notified().await;
-        // Workers turn up together after a restart: let a few gather.
-        sleep(node.request_gap() / 4).await;
+        // Workers turn up together after a restart: let them gather.
+        sleep(node.request_gap() * 2).await;
         while !node.claims.borrow().is_empty() {
             // They stand in few records, however many they are.
             node.store.ready(Class::Claim, 1).await;
@@ -1116,6 +1115,7 @@
         let most = node.settings.deployment.state.txn_ops;
         // A machine that joins does not wait for the interval.
         let joins = known.is_none();
+        let most = most.min(COMMIT_BYTES / node.settings.value_bytes());
         if (recent.contains_key(&part) && !joins)
             || (parts.len() == most && !parts.contains_key(&part))
         {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -78,6 +78,8 @@
     last_end: Option<EndKey>,
     /// How many records the last commit wrote.
     wrote: usize,
+    /// The last commit was too long to send: the next writes few records.
+    narrow: bool,
 }
 
 /// Rounds of decisions: what has ended is recorded and what waits is placed,
@@ -111,12 +113,14 @@
             let ends = batch.ends;
             match node.commit(Class::Round, batch.guards, batch.writes).await {
                 Ok(_) => {
+                    rounds.narrow = false;
                     tracing::debug!(jobs = batch.jobs, ends = ends.len(), "decided");
                     let mut all = node.ends.borrow_mut();
                     for key in &ends {
                         all.remove(key);
                     }
                 }
+                Err(StoreError::TooLong(_)) => rounds.narrow = true,
                 Err(StoreError::Conflict(keys)) => {
                     // What has changed is on its way: take it in, and decide
                     // again on that.
@@ -261,7 +265,10 @@
     }
     rounds.noted = Some(now);
     let settings = &node.settings;
-    let ops = settings.deployment.state.txn_ops;
+    let ops = match rounds.narrow {
+        true => 4,
+        false => settings.deployment.state.txn_ops,
+    };
     let mut plan = Plan::of(&view);
     // Ends leave some of the commit to what waits for their room.
     let mut draft = Draft::new(&view, if ids.is_empty() { ops } else { ops * 3 / 4 });
--- a/src/store.rs
+++ b/src/store.rs
@@ -179,6 +179,9 @@
     /// Not executed, surely.
     #[error("state service refuses: {0}")]
     Refused(u16),
+    /// Longer than a request may be: not sent.
+    #[error("a commit of {0} bytes is too long")]
+    TooLong(usize),
     /// May have been executed, or may yet be.
     #[error("state service does not answer: {0}")]
     NoAnswer(String),
@@ -381,6 +384,10 @@
 
     pub async fn commit(&self, class: Class, commit: &Commit) -> Result<u64, StoreError> {
         let body = encode(commit)?;
+        if body.len() > crate::http::BODY_LIMIT {
+            tracing::error!(bytes = body.len(), writes = commit.writes.len(), "too long");
+            return Err(StoreError::TooLong(body.len()));
+        }
         let writes = commit.writes.len();
         let r = self
             .call(class, writes, "POST", "/commit", Some(body), self.patience)
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -881,6 +881,28 @@
     let listed: usize = view.groups.values().map(|g| g.value.machines.len()).sum();
     assert_eq!(listed, 400, "each stands in one part");
     assert!(view.groups.len() > 4, "{}", view.groups.len());
+    // A takeover of all takes as many commits as it needs, each within what a
+    // request may hold.
+    let ops = set.deployment.state.txn_ops;
+    let mut left: Vec<String> = view.machines.keys().cloned().collect();
+    let mut commits = 0;
+    while !left.is_empty() {
+        let mut groups = shelfhoist::draft::Groups::new(&view);
+        left.retain(|name| {
+            let machine = &view.machines[name].value;
+            let group = part_id(&machine.zone, &machine.part);
+            if groups.is_full(ops) && !groups.has(&group) {
+                return true;
+            }
+            groups.put(name, machine.clone());
+            false
+        });
+        let (guards, writes) = groups.into_commit();
+        let body = serde_json::to_vec(&Commit { guards, writes }).expect("commit");
+        assert!(body.len() <= 64 * 1024, "{} bytes", body.len());
+        commits += 1;
+    }
+    assert!((2..10).contains(&commits), "{commits} commits");
 }
 
 /// Task numbers are text in a record, and what is not a set is refused.
