--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -842,7 +842,7 @@
     let set = settings();
     let mut view = view_with_types();
     let mut version = 10;
-    for n in 0..400 {
+    for n in 0..800 {
         let name = format!("host-{n:06}");
         let mut groups = shelfhoist::draft::Groups::new(&view);
         let machine = Machine {
@@ -877,9 +877,9 @@
         assert!(guards.len() > parts.count().saturating_sub(1), "{guards:?}");
         view.overlay(&writes, version);
     }
-    assert_eq!(view.machines.len(), 400);
+    assert_eq!(view.machines.len(), 800);
     let listed: usize = view.groups.values().map(|g| g.value.machines.len()).sum();
-    assert_eq!(listed, 400, "each stands in one part");
+    assert_eq!(listed, 800, "each stands in one part");
     assert!(view.groups.len() > 4, "{}", view.groups.len());
     // A takeover of all takes as many commits as it needs, each within what a
     // request may hold.
