--- a/src/admission.rs
+++ b/src/admission.rs
@@ -432,16 +432,16 @@
     Ok(places)
 }
 
-/// Whether the job fits; cheaper than where.
-pub fn fits(
+/// How many of the job's tasks fit; cheaper than where.
+pub fn count(
     job: &Job,
     spec: &Spec,
     plan: &Plan,
     hints: &Hints,
     settings: &Settings,
     care: Care,
-) -> bool {
-    find(job, spec, plan, hints, settings, care).is_ok()
+) -> usize {
+    find(job, spec, plan, hints, settings, care).map_or(0, |places| places.len())
 }
 
 fn find(
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -450,7 +450,8 @@
         }
         let lax = admission::fit(job, spec, plan, hints, settings, Care::Lax);
         let coming = self.coming(hints.view, plan).clone();
-        if admission::fits(job, spec, &coming, hints, settings, Care::Strict) {
+        let wanted = wanted(job, spec);
+        if admission::count(job, spec, &coming, hints, settings, Care::Strict) >= wanted {
             return strict;
         }
         if self.searches >= SEARCHES {
@@ -458,9 +459,19 @@
         }
         self.searches += 1;
         let none = BTreeMap::new();
-        match find_victims(node, hints, &none, &coming, id, job, spec, Care::Strict) {
-            Some(_) => strict,
-            None => lax,
+        match find_victims(
+            node,
+            hints,
+            &none,
+            &coming,
+            id,
+            job,
+            spec,
+            Care::Strict,
+            wanted,
+        ) {
+            Some((_, true)) => strict,
+            _ => lax,
         }
     }
 
@@ -531,15 +542,18 @@
             for p in places.iter().flatten() {
                 coming.take(p, &spec.team, spec.need);
             }
-            places.is_ok()
+            places.map_or(0, |p| p.len())
         };
-        if take(&mut coming, Care::Strict) || rounds.preempted.contains_key(id) {
+        let wanted = wanted(job, spec);
+        let found = take(&mut coming, Care::Strict);
+        if found >= wanted || rounds.preempted.contains_key(id) {
             continue;
         }
+        let left = wanted - found;
         search.searches += 1;
         let found = [Care::Strict, Care::Lax].into_iter().find_map(|care| {
-            let victims = find_victims(node, &hints, &changed, &coming, id, job, spec, care)?;
-            Some((victims, care))
+            let found = find_victims(node, &hints, &changed, &coming, id, job, spec, care, left)?;
+            Some((found.0, care))
         });
         let Some((victims, care)) = found else {
             continue;
@@ -580,8 +594,9 @@
     h.finish() % 4
 }
 
-/// The least work whose end makes room for the job: one task after another,
-/// of the lowest priority and the youngest job first, until it fits.
+/// The least work whose end makes room for `wanted` of the job's tasks: one
+/// task after another, of the lowest priority and the youngest job first, until
+/// they fit; or for some of them, which the answer tells.
 #[allow(clippy::too_many_arguments)]
 fn find_victims(
     node: &Node,
@@ -592,7 +607,8 @@
     job: &Job,
     spec: &Spec,
     care: Care,
-) -> Option<Vec<Victim>> {
+    wanted: usize,
+) -> Option<(Vec<Victim>, bool)> {
     let settings = &node.settings;
     let view = hints.view;
     let terms = settings.team(&spec.team)?;
@@ -661,6 +677,9 @@
     candidates.sort_by_key(|c| c.0);
     let mut after = coming.clone();
     let mut victims: Vec<Victim> = Vec::new();
+    // What has been found for some of the tasks.
+    let mut some: Option<Vec<Victim>> = None;
+    let mut most = admission::count(job, spec, &after, hints, settings, care);
     let mut looks = 0;
     for (_, at, other, run, victim) in candidates {
         let whole = victim.is_gang();
@@ -687,17 +706,35 @@
             }
             looks += 1;
             if looks > LOOKS {
-                return None;
+                return some.map(|v| (v, false));
             }
-            if let Ok(places) = admission::fit(job, spec, &after, hints, settings, care) {
-                // Only what was cleared where the job will be is needed.
-                let used: BTreeSet<&str> = places.iter().map(|p| &*p.machine).collect();
-                victims.retain(|v| used.contains(v.machine.as_str()));
-                return Some(victims);
+            let Ok(places) = admission::fit(job, spec, &after, hints, settings, care) else {
+                continue;
+            };
+            if places.len() <= most {
+                continue;
+            }
+            most = places.len();
+            // Only what was cleared where the job will be is needed.
+            let used: BTreeSet<&str> = places.iter().map(|p| &*p.machine).collect();
+            let needed = victims.iter().filter(|v| used.contains(v.machine.as_str()));
+            let needed: Vec<Victim> = needed.cloned().collect();
+            if most >= wanted {
+                return Some((needed, true));
             }
+            some = Some(needed);
         }
     }
-    None
+    some.map(|v| (v, false))
+}
+
+/// How many places a job needs at once: a service all, as its replicas serve
+/// together; of independent tasks, one after another will do.
+fn wanted(job: &Job, spec: &Spec) -> usize {
+    match spec.kind {
+        Kind::Array => 1,
+        _ => job.waiting(),
+    }
 }
 
 /// How often one search for work to stop tries whether the job fits now.
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -291,6 +291,28 @@
     });
 }
 
+/// Lower work is stopped for all replicas of a service at once, not for one
+/// after another: all run before a machine could boot.
+#[test]
+fn a_service_gets_room_for_all_its_replicas_at_once() {
+    in_world(|| async {
+        let w = World::new(16).await;
+        let mut low = job(1, "batch", 4, 300.0);
+        low["urgency"] = json!("low");
+        low["crew"] = json!("u");
+        let array = w.submit(low).await;
+        w.until(&array, "running", 60).await;
+        sleep(Duration::from_secs(30)).await;
+        assert_eq!(w.running(&array), 4);
+        let mut service = job(2, "daemon", 4, 0.0);
+        service["urgency"] = json!("prod");
+        let service = w.submit(service).await;
+        sleep(Duration::from_millis(3500)).await;
+        assert_eq!((w.running(&service), w.running(&array)), (4, 0));
+        w.assert_kept();
+    });
+}
+
 /// Late copies of reports, at every controller and at one that has just come
 /// back: no end, no release and no launch comes from one.
 #[test]
