--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -50,8 +50,8 @@
     /// The last report of a worker that asked to be claimed, without tasks:
     /// its address and its kind.
     pub reports: HashMap<String, Report>,
-    /// When a machine was last sent to a controller of its own zone.
-    pub sent_home: HashMap<String, Instant>,
+    /// When a machine was last sent to its home, and whether it was soon back.
+    pub sent_home: HashMap<String, (Instant, bool)>,
     /// When a machine was last sent back to its holder.
     pub sent_back: HashMap<String, Instant>,
     /// When any was sent home that another controller holds.
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -469,11 +469,16 @@
         if home == self.name() {
             return None;
         }
-        let pause = self.settings.lease() * 3;
+        let lease = self.settings.lease();
         let mut fleet = self.fleet.borrow_mut();
-        let recent = fleet.sent_home.get(&report.machine);
-        if recent.is_some_and(|t| now.saturating_duration_since(*t) < pause) {
-            return None;
+        if let Some((sent, back)) = fleet.sent_home.get_mut(&report.machine) {
+            // One that is back soon has not reached it, and is left alone for
+            // a while; one that comes later has lost it since.
+            let age = now.saturating_duration_since(*sent);
+            *back |= age < lease;
+            if *back && age < lease * 3 {
+                return None;
+            }
         }
         // One that nobody holds yet costs no more there than here. Of the
         // others a few at a time, and none while machines wait to be claimed:
@@ -489,7 +494,7 @@
             }
             fleet.last_sent_home = Some(now);
         }
-        fleet.sent_home.insert(report.machine.clone(), now);
+        fleet.sent_home.insert(report.machine.clone(), (now, false));
         Some(home)
     }
 
