--- a/src/placement.rs
+++ b/src/placement.rs
@@ -215,7 +215,13 @@
 
 /// Lays recorded ends into the draft, and their room into the plan. Begins
 /// where the last round ended, so that none waits for ever in a flood.
-fn take_ends(node: &Node, rounds: &mut Rounds, draft: &mut Draft, plan: &mut Plan) -> Vec<EndKey> {
+fn take_ends(
+    node: &Node,
+    rounds: &mut Rounds,
+    draft: &mut Draft,
+    plan: &mut Plan,
+    for_arrays: usize,
+) -> Vec<EndKey> {
     let view = node.view.borrow();
     let mut taken = Vec::new();
     let mut stale = Vec::new();
@@ -224,7 +230,21 @@
     let (later, earlier): (Vec<_>, Vec<_>) = ends
         .iter()
         .partition(|(key, _)| first.as_ref().is_none_or(|f| *key >= f));
-    for (key, outcome) in later.into_iter().chain(earlier) {
+    let is_array = |key: &EndKey| {
+        let spec = view.jobs.get(&key.job).and_then(|e| e.value.spec.as_ref());
+        spec.is_some_and(|s| s.kind == Kind::Array)
+    };
+    // Gangs and services first, whose room many wait for; the ends of arrays
+    // leave part of the commit to what is to be placed.
+    let (arrays, others): (Vec<_>, Vec<_>) = later
+        .into_iter()
+        .chain(earlier)
+        .partition(|(key, _)| is_array(key));
+    let most = draft.most;
+    for (key, outcome) in others.into_iter().chain(arrays) {
+        if is_array(key) {
+            draft.most = for_arrays;
+        }
         match draft.release(key, *outcome, node.name(), node.incarnation) {
             Released::Yes => {
                 if let Some(spec) = view.jobs.get(&key.job).and_then(|e| e.value.spec.as_ref()) {
@@ -232,11 +252,14 @@
                 }
                 taken.push(key.clone());
             }
-            Released::Full if rounds.last_end.is_none() => rounds.last_end = Some(key.clone()),
+            Released::Full if is_array(key) && rounds.last_end.is_none() => {
+                rounds.last_end = Some(key.clone());
+            }
             Released::Full => {}
             Released::Stale => stale.push(key.clone()),
         }
     }
+    draft.most = most;
     drop(ends);
     let mut ends = node.ends.borrow_mut();
     for key in stale {
@@ -270,10 +293,9 @@
         false => settings.deployment.state.txn_ops,
     };
     let mut plan = Plan::of(&view);
-    // Ends leave some of the commit to what waits for their room.
-    let mut draft = Draft::new(&view, if ids.is_empty() { ops } else { ops * 3 / 4 });
-    let ends = take_ends(node, rounds, &mut draft, &mut plan);
-    draft.most = ops;
+    let mut draft = Draft::new(&view, ops);
+    let for_arrays = if ids.is_empty() { ops } else { ops * 5 / 8 };
+    let ends = take_ends(node, rounds, &mut draft, &mut plan, for_arrays);
     node.reasons
         .borrow_mut()
         .retain(|id, _| view.jobs.get(id).is_some_and(|e| e.value.waiting() > 0));
