--- a/src/node.rs
+++ b/src/node.rs
@@ -202,9 +202,11 @@
         let mut pairs = Vec::new();
         let mut after = String::new();
         let mut revision = u64::MAX;
+        let mut newest = 0;
         loop {
             let page = self.store.page(PREFIX, &after).await?;
             revision = revision.min(page.revision);
+            newest = newest.max(page.revision);
             if let Some(last) = page.items.last() {
                 after = last.key.clone();
             }
@@ -215,8 +217,18 @@
         }
         tracing::info!(keys = pairs.len(), revision, "state read");
         // Pages read at different revisions may together show a removed key
-        // or half of a commit; the events after the oldest mend both.
-        self.view.borrow_mut().reload(pairs, revision);
+        // or half of a commit: bookings without the part that they changed.
+        // The events after the oldest mend both, before anyone decides.
+        let mended = match newest > revision {
+            true => Some(self.store.watch(PREFIX, revision, Duration::ZERO).await?),
+            false => None,
+        };
+        let mut view = self.view.borrow_mut();
+        view.reload(pairs, revision);
+        if let Some(answer) = mended {
+            view.advance(answer.events, answer.revision);
+        }
+        drop(view);
         self.announce();
         Ok(())
     }
