An end is released only under the claim that proved it

Cause: an end waits in the queue of the controller that proved it until a round has room. When a cut heals, a worker may go to another controller, be claimed and given the same attempt again, and be sent home before that round: the holder is again who the draft asks for, the queued end is void, and the release let a running task start elsewhere. Guard: a queued end carries the token that it was proven under; the draft drops it when the machine has another.

--- a/src/draft.rs
+++ b/src/draft.rs
@@ -7,10 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::admission::Place;
-use crate::machines::EndKey;
-use crate::model::{
-    Group, Job, Life, Machine, Outcome, Part, Room, Spec, Team, machine_bytes, slot_bytes,
-};
+use crate::machines::{EndKey, Proof};
+use crate::model::{Group, Job, Life, Machine, Part, Room, Spec, Team, machine_bytes, slot_bytes};
 use crate::node::{guard, put};
 use crate::settings::Settings;
 use crate::view::{View, group_key, job_key, part_id, part_key, team_key};
@@ -164,16 +162,19 @@
     pub fn release(
         &mut self,
         key: &EndKey,
-        outcome: Outcome,
+        proof: Proof,
         node: &str,
         incarnation: u64,
     ) -> Released {
         // Safety 3: what proved the end holds only while the machine is still
-        // ours, or once it is gone for good; the guard on its record makes
-        // the commit depend on it.
+        // ours by the claim that it was proven under, or once it is gone for
+        // good; the guard on its record makes the commit depend on it.
         let group = match self.view.machines.get(&key.machine).map(|e| &e.value) {
             Some(m)
-                if m.life == Life::Gone || (m.holder == node && m.incarnation == incarnation) =>
+                if m.life == Life::Gone
+                    || (m.holder == node
+                        && m.incarnation == incarnation
+                        && m.token == proof.token) =>
             {
                 part_id(&m.zone, &m.part)
             }
@@ -197,7 +198,7 @@
             return Released::Full;
         }
         if let Some(job) = self.edit_job(&key.job) {
-            job.release(&key.machine, key.attempt, key.task, outcome);
+            job.release(&key.machine, key.attempt, key.task, proof.outcome);
         }
         *self.released.entry(key.machine.clone()).or_default() += spec.need;
         *self.team_released.entry(spec.team).or_default() += spec.need;
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -29,6 +29,15 @@
     pub task: u32,
 }
 
+/// An end that is to be recorded, and the token under which it was proven. Who
+/// loses a machine and claims it again may have let another launch the same
+/// attempt there meanwhile: what was proven before the new claim is void.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Proof {
+    pub outcome: Outcome,
+    pub token: u64,
+}
+
 /// A claim that a beat has asked for.
 #[derive(Debug)]
 pub struct Claim {
@@ -235,7 +244,7 @@
     id: &str,
     hand: &Hand,
     view: &View,
-    ends: &BTreeMap<EndKey, Outcome>,
+    ends: &BTreeMap<EndKey, Proof>,
     repeat: Duration,
     now: Instant,
 ) -> Plan {
@@ -329,7 +338,7 @@
                     attempt: run.attempt,
                     task: n,
                 };
-                if ends.contains_key(&key) {
+                if ends.get(&key).is_some_and(|p| p.token == hand.token) {
                     continue;
                 }
                 let task = format!("{job_id}/{n}");
@@ -417,10 +426,13 @@
         let mut hands = self.hands.borrow_mut();
         let mut queue = self.ends.borrow_mut();
         for (key, outcome) in ends {
-            if queue.contains_key(&key) {
+            let hand = hands.get_mut(&key.machine);
+            // Without a hand only the cloud's word proves an end.
+            let token = hand.as_ref().map_or(0, |h| h.token);
+            if queue.get(&key).is_some_and(|p| p.token >= token) {
                 continue;
             }
-            if let Some(hand) = hands.get_mut(&key.machine) {
+            if let Some(hand) = hand {
                 match outcome {
                     Outcome::Failed => {
                         hand.failed_jobs.insert(key.job.clone());
@@ -437,7 +449,7 @@
                 ?outcome,
                 "ended"
             );
-            queue.insert(key, outcome);
+            queue.insert(key, Proof { outcome, token });
         }
         self.ends_wanted.notify_one();
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,9 +15,8 @@
 use crate::api::Arrival;
 use crate::fleet::FleetState;
 use crate::http::Client;
-use crate::machines::{Claim, EndKey, Hand};
+use crate::machines::{Claim, EndKey, Hand, Proof};
 use crate::mesh::Peers;
-use crate::model::Outcome;
 use crate::net::Net;
 use crate::placement::Reason;
 use crate::settings::Settings;
@@ -49,7 +48,7 @@
     /// Someone waits for the view: the next watch is opened without delay.
     watch_soon: Notify,
     pub hands: RefCell<HashMap<String, Hand>>,
-    pub ends: RefCell<BTreeMap<EndKey, Outcome>>,
+    pub ends: RefCell<BTreeMap<EndKey, Proof>>,
     pub ends_wanted: Notify,
     /// Submissions that wait to be accepted.
     pub arrivals: RefCell<VecDeque<Arrival>>,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -241,11 +241,11 @@
         .chain(earlier)
         .partition(|(key, _)| is_array(key));
     let most = draft.most;
-    for (key, outcome) in others.into_iter().chain(arrays) {
+    for (key, proof) in others.into_iter().chain(arrays) {
         if is_array(key) {
             draft.most = for_arrays;
         }
-        match draft.release(key, *outcome, node.name(), node.incarnation) {
+        match draft.release(key, *proof, node.name(), node.incarnation) {
             Released::Yes => {
                 if let Some(spec) = view.jobs.get(&key.job).and_then(|e| e.value.spec.as_ref()) {
                     plan.give(&view, &key.machine, &spec.team, spec.need);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -6,8 +6,9 @@
 use serde_json::json;
 use shelfhoist::admission::{self, Care, Hints, Plan, Wait};
 use shelfhoist::api::{Refusal, check_submission, read_submission};
+use shelfhoist::draft::{Draft, Released};
 use shelfhoist::http::{Parsed, parse_request};
-use shelfhoist::machines::{EndKey, Hand, reconcile};
+use shelfhoist::machines::{EndKey, Hand, Proof, reconcile};
 use shelfhoist::model::*;
 use shelfhoist::settings::Settings;
 use shelfhoist::view::{View, group_key, job_key, part_id, part_key};
@@ -625,7 +626,7 @@
             "m",
             hand,
             &recorded,
-            &BTreeMap::<EndKey, Outcome>::new(),
+            &BTreeMap::<EndKey, Proof>::new(),
             Duration::from_secs(2),
             now,
         )
@@ -649,6 +650,44 @@
     assert!(hand.take(report(8, 5, json!([])), false));
 }
 
+/// A machine that was lost and claimed again: another controller may have
+/// launched the same attempt there in between, so that an end which waited in
+/// the queue since before proves nothing any more.
+#[test]
+fn an_end_is_released_only_under_the_claim_that_proved_it() {
+    let cases: &[(&str, u64, Life, u64, Released)] = &[
+        ("the claim that stands", 5, Life::Active, 1, Released::Yes),
+        ("an earlier claim", 4, Life::Active, 1, Released::Stale),
+        ("another run's claim", 5, Life::Active, 2, Released::Stale),
+        ("the cloud's word", 0, Life::Gone, 2, Released::Yes),
+    ];
+    for (name, token, life, incarnation, want) in cases {
+        let mut view = held(Kind::Array, |_| {});
+        let mut machine = view.machines["m"].value.clone();
+        machine.life = *life;
+        let group = json!({"m": {"m": serde_json::to_value(&machine).expect("machine")}});
+        view.advance(vec![Event::put(group_key("a/n0.0"), &group, 11)], 11);
+        let key = EndKey {
+            job: "job-1".into(),
+            machine: "m".into(),
+            attempt: 1,
+            task: 0,
+        };
+        let outcome = Outcome::Lost;
+        let proof = Proof {
+            outcome,
+            token: *token,
+        };
+        let mut draft = Draft::new(&view, 12);
+        let got = draft.release(&key, proof, "n0", *incarnation);
+        assert_eq!(&got, want, "{name}");
+        // The commit depends on the machine's record, too.
+        let guards = draft.into_commit().0;
+        let on_group = guards.iter().any(|g| g.key == group_key("a/n0.0"));
+        assert_eq!(on_group, *want == Released::Yes, "{name}");
+    }
+}
+
 #[test]
 fn a_silent_lease_is_over_only_for_its_holder_throughout() {
     let lease = Duration::from_secs(10);
