Rounds are paced by their own time; searches for work to stop go by number

Cause: at fleet size a round is followed by the next as long as the budget of writes lasts (300 a second), and each searched all that runs, by name, up to sixteen times.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -100,9 +100,19 @@
 
     /// Room that is, or will be, given back.
     pub fn give(&mut self, view: &View, machine: &str, team: &str, room: Room) {
-        if let Some(at) = self.find(view, machine) {
-            self.spots[at].free += room;
+        match self.find(view, machine) {
+            Some(at) => self.free(at, team, room),
+            None => self.give_team(team, room),
         }
+    }
+
+    /// The same where the machine's place among the spots is known.
+    pub fn free(&mut self, at: usize, team: &str, room: Room) {
+        self.spots[at].free += room;
+        self.give_team(team, room);
+    }
+
+    fn give_team(&mut self, team: &str, room: Room) {
         if let Some(used) = self.teams.get_mut(team) {
             *used -= room;
         }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -15,7 +15,7 @@
 use crate::machines::{self, EndKey};
 use crate::model::{Job, Spec};
 use crate::node::Node;
-use crate::settings::Settings;
+use crate::settings::{Settings, TeamTerms};
 use crate::store::{Class, StoreError};
 use crate::view::View;
 use crate::wire::{Guard, Kind, Write};
@@ -72,6 +72,9 @@
     held: HashMap<String, (u32, Instant)>,
     /// Preemptions made, so that their effect is awaited.
     preempted: HashMap<String, Instant>,
+    /// Searches for work to stop that found none: each goes through all that
+    /// runs, and little changes from one round to the next.
+    in_vain: HashMap<String, Instant>,
     /// When the whole queue was last gone through.
     noted: Option<Instant>,
     /// The first end that found no room in the last commit.
@@ -102,13 +105,22 @@
         machines::release_silent(&node);
         machines::release_gone(&node);
         let begun = Instant::now();
+        let mut busy = Duration::ZERO;
         // As many commits as it takes; each waits for its answer.
         loop {
+            // However much the budget lets through, rounds leave the processor
+            // to beats, probes and acceptance for as long as they took it; what
+            // gathers meanwhile widens the next.
+            if !busy.is_zero() {
+                sleep(busy).await;
+            }
             let wanted = (rounds.wrote / 2).max(1);
             node.store.ready(Class::Round, wanted).await;
+            let deciding = Instant::now();
             let Some(batch) = round(&node, &mut rounds) else {
                 break;
             };
+            busy = deciding.elapsed();
             rounds.wrote = batch.writes.len();
             let ends = batch.ends;
             match node.commit(Class::Round, batch.guards, batch.writes).await {
@@ -401,6 +413,8 @@
     failed: HashMap<u64, (usize, Wait)>,
     /// The plan with the room that is being cleared, once it was asked for.
     coming: Option<Plan>,
+    /// All that runs, once work to stop was searched for.
+    running: Option<Rc<Vec<Running>>>,
     searches: usize,
     held: bool,
 }
@@ -417,7 +431,45 @@
     Some(h.finish())
 }
 
+/// An open job that runs, as searches for work to stop look at it: where each
+/// of its runs stands in the plan is worked out once a round, by number.
+struct Running {
+    job: String,
+    /// Controllers that clear room at once begin in different places.
+    share: u64,
+    /// The run's place among the job's, and its machine's in the plan.
+    runs: Vec<(usize, usize)>,
+}
+
+fn running(node: &str, view: &View, plan: &Plan) -> Vec<Running> {
+    let open = view.open.iter().filter_map(|(_, id)| {
+        let job = &view.jobs.get(id)?.value;
+        Some((id, job))
+    });
+    open.filter(|(_, job)| !job.runs.is_empty())
+        .map(|(id, job)| Running {
+            job: id.clone(),
+            share: share_of(node, id),
+            runs: places_of(job, view, plan),
+        })
+        .collect()
+}
+
+/// Where a job's runs stand that may be stopped.
+fn places_of(job: &Job, view: &View, plan: &Plan) -> Vec<(usize, usize)> {
+    let runs = job.runs.iter().enumerate().filter(|(_, r)| !r.stop);
+    runs.filter_map(|(n, r)| Some((n, plan.find(view, &r.machine)?)))
+        .collect()
+}
+
 impl Search {
+    fn running(&mut self, node: &str, view: &View, plan: &Plan) -> Rc<Vec<Running>> {
+        let known = self.running.take();
+        let all = known.unwrap_or_else(|| Rc::new(running(node, view, plan)));
+        self.running = Some(all.clone());
+        all
+    }
+
     fn coming(&mut self, view: &View, plan: &Plan) -> &mut Plan {
         self.coming.get_or_insert_with(|| with_stops(view, plan))
     }
@@ -480,18 +532,16 @@
             return lax;
         }
         self.searches += 1;
+        let running = self.running(node.name(), hints.view, plan);
         let none = BTreeMap::new();
-        match find_victims(
-            node,
+        let seek = Seek {
+            settings,
             hints,
-            &none,
-            &coming,
-            id,
-            job,
-            spec,
-            Care::Strict,
-            wanted,
-        ) {
+            running: &running,
+            changed: &none,
+            coming: &coming,
+        };
+        match seek.victims(id, job, spec, Care::Strict, wanted) {
             Some((_, true)) => strict,
             _ => lax,
         }
@@ -542,6 +592,10 @@
     rounds
         .preempted
         .retain(|_, at| now.saturating_duration_since(*at) < patience);
+    let pause = settings.report() / 2;
+    rounds
+        .in_vain
+        .retain(|_, at| now.saturating_duration_since(*at) < pause);
     if blocked.is_empty() {
         return;
     }
@@ -550,6 +604,7 @@
     let mut coming = search.coming(&view, plan).clone();
     let home = node.name();
     let hints = Hints::new(&view, home);
+    let running = search.running(home, &view, plan);
     let mut changed: BTreeMap<String, Job> = BTreeMap::new();
     for id in blocked {
         if search.searches >= SEARCHES * 2 {
@@ -568,16 +623,25 @@
         };
         let wanted = wanted(job, spec);
         let found = take(&mut coming, Care::Strict);
-        if found >= wanted || rounds.preempted.contains_key(id) {
+        let tried = rounds.preempted.contains_key(id) || rounds.in_vain.contains_key(id);
+        if found >= wanted || tried {
             continue;
         }
         let left = wanted - found;
         search.searches += 1;
+        let seek = Seek {
+            settings,
+            hints: &hints,
+            running: &running,
+            changed: &changed,
+            coming: &coming,
+        };
         let found = [Care::Strict, Care::Lax].into_iter().find_map(|care| {
-            let found = find_victims(node, &hints, &changed, &coming, id, job, spec, care, left)?;
+            let found = seek.victims(id, job, spec, care, left)?;
             Some((found.0, care))
         });
         let Some((victims, care)) = found else {
+            rounds.in_vain.insert(id.clone(), now);
             continue;
         };
         let touched = victims.iter().map(|v| v.job.as_str());
@@ -616,138 +680,145 @@
     h.finish() % 4
 }
 
-/// The least work whose end makes room for `wanted` of the job's tasks: one
-/// task after another, of the lowest priority and the youngest job first, until
-/// they fit; or for some of them, which the answer tells.
-#[allow(clippy::too_many_arguments)]
-fn find_victims(
-    node: &Node,
-    hints: &Hints,
-    changed: &BTreeMap<String, Job>,
-    coming: &Plan,
-    id: &str,
-    job: &Job,
-    spec: &Spec,
-    care: Care,
-    wanted: usize,
-) -> Option<(Vec<Victim>, bool)> {
-    let settings = &node.settings;
-    let view = hints.view;
-    let terms = settings.team(&spec.team)?;
-    // Independent tasks that give way to independent tasks lose more than
-    // they gain: such work ends soon and makes room by itself. They stop
-    // lower priorities only.
-    let tasks = if spec.is_gang() {
-        spec.tasks as usize
-    } else {
-        1
-    };
-    let inside = spec.kind != Kind::Array
-        && admission::within_guarantee(terms, &coming.used(&spec.team), spec, tasks);
-    // What would stay within its team's guarantee, were it stopped, is not
-    // borrowed: its team would have it back, and stop other work for it.
-    let borrowed = |victim: &Spec, plan: &Plan| {
-        let tasks = if victim.is_gang() {
-            victim.tasks as usize
+/// What a search for work to stop goes by.
+struct Seek<'a> {
+    settings: &'a Settings,
+    hints: &'a Hints<'a>,
+    running: &'a [Running],
+    /// Jobs as this round has left them so far.
+    changed: &'a BTreeMap<String, Job>,
+    /// Free room, with that which is being cleared.
+    coming: &'a Plan,
+}
+
+impl Seek<'_> {
+    /// The least work whose end makes room for `wanted` of the job's tasks: one
+    /// task after another, of the lowest priority and the youngest job first,
+    /// until they fit; or for some of them, which the answer tells.
+    fn victims(
+        &self,
+        id: &str,
+        job: &Job,
+        spec: &Spec,
+        care: Care,
+        wanted: usize,
+    ) -> Option<(Vec<Victim>, bool)> {
+        let (settings, hints, coming) = (self.settings, self.hints, self.coming);
+        let view = hints.view;
+        let terms = settings.team(&spec.team)?;
+        // Independent tasks that give way to independent tasks lose more than
+        // they gain: such work ends soon and makes room by itself. They stop
+        // lower priorities only.
+        let tasks = if spec.is_gang() {
+            spec.tasks as usize
         } else {
             1
         };
-        settings
-            .team(&victim.team)
-            .is_some_and(|t| t.lends(&plan.used(&victim.team), &victim.need.times(tasks)))
-    };
-    let mut candidates = Vec::new();
-    for (_, other) in &view.open {
-        if other == id {
-            continue;
-        }
-        // As this round has left it so far.
-        let known = view.jobs.get(other).map(|e| &e.value);
-        let Some(entry) = changed.get(other).or(known) else {
-            continue;
-        };
-        let Some(victim) = &entry.spec else {
-            continue;
+        let inside = spec.kind != Kind::Array
+            && admission::within_guarantee(terms, &coming.used(&spec.team), spec, tasks);
+        // What would stay within its team's guarantee, were it stopped, is not
+        // borrowed: its team would have it back, and stop other work for it.
+        let borrowed = |victim: &Spec, terms: Option<&TeamTerms>, plan: &Plan| {
+            let tasks = if victim.is_gang() {
+                victim.tasks as usize
+            } else {
+                1
+            };
+            terms.is_some_and(|t| t.lends(&plan.used(&victim.team), &victim.need.times(tasks)))
         };
-        if !admission::may_preempt(spec, inside, victim, borrowed(victim, coming)) {
-            continue;
-        }
-        // Work on accelerators is the last to go for work without.
-        if care == Care::Strict && spec.need.gpus.0 == 0 && victim.need.gpus.0 > 0 {
-            continue;
-        }
-        for run in entry.runs.iter().filter(|r| !r.stop) {
-            let Some(at) = coming.find(view, &run.machine) else {
+        let image = view.image(&spec.image);
+        let allowed: Vec<bool> = view
+            .classes
+            .iter()
+            .map(|c| spec.allows(&c.kind, &c.zone, c.spot))
+            .collect();
+        let mut candidates = Vec::new();
+        for other in self.running.iter().filter(|r| r.job != id) {
+            // As this round has left it so far.
+            let changed = self.changed.get(&other.job);
+            let known = view.jobs.get(&other.job).map(|e| &e.value);
+            let Some(entry) = changed.or(known) else {
                 continue;
             };
-            let spot = &coming.spots[at];
-            let class = &view.classes[spot.class as usize];
-            if spec.allows(&class.kind, &class.zone, class.spot) {
-                let no_image = !view.has_image(spot.machine, view.image(&spec.image));
-                let order = (
-                    victim.priority,
-                    no_image,
-                    // Controllers that clear room at once begin in
-                    // different places.
-                    share_of(node.name(), other),
-                    std::cmp::Reverse(entry.born),
-                );
-                candidates.push((order, at, other, run, victim));
-            }
-        }
-    }
-    candidates.sort_by_key(|c| c.0);
-    let mut after = coming.clone();
-    let mut victims: Vec<Victim> = Vec::new();
-    // What has been found for some of the tasks.
-    let mut some: Option<Vec<Victim>> = None;
-    let mut most = admission::count(job, spec, &after, hints, settings, care);
-    let mut looks = 0;
-    for (_, at, other, run, victim) in candidates {
-        let whole = victim.is_gang();
-        let mut left = run.tasks.len();
-        while left > 0 {
-            // Borrowed work counts as borrowed only down to the guarantee.
-            if !admission::may_preempt(spec, inside, victim, borrowed(victim, &after)) {
-                break;
-            }
-            let n = if whole { left } else { 1 };
-            left -= n;
-            after.give(view, &run.machine, &victim.team, victim.need.times(n));
-            match victims.last_mut() {
-                Some(v) if v.job == *other && v.machine == run.machine => v.tasks += n,
-                _ => victims.push(Victim {
-                    job: other.clone(),
-                    machine: run.machine.clone(),
-                    tasks: n,
-                }),
-            }
-            // Only a machine that now holds a task can have made it fit.
-            if !after.spots[at].free.fits(&spec.need) {
-                continue;
-            }
-            looks += 1;
-            if looks > LOOKS {
-                return some.map(|v| (v, false));
-            }
-            let Ok(places) = admission::fit(job, spec, &after, hints, settings, care) else {
+            let Some(victim) = &entry.spec else {
                 continue;
             };
-            if places.len() <= most {
+            let terms = settings.team(&victim.team);
+            if !admission::may_preempt(spec, inside, victim, borrowed(victim, terms, coming)) {
+                continue;
+            }
+            // Work on accelerators is the last to go for work without.
+            if care == Care::Strict && spec.need.gpus.0 == 0 && victim.need.gpus.0 > 0 {
                 continue;
             }
-            most = places.len();
-            // Only what was cleared where the job will be is needed.
-            let used: BTreeSet<&str> = places.iter().map(|p| &*p.machine).collect();
-            let needed = victims.iter().filter(|v| used.contains(v.machine.as_str()));
-            let needed: Vec<Victim> = needed.cloned().collect();
-            if most >= wanted {
-                return Some((needed, true));
+            let anew = changed.map(|job| places_of(job, view, coming));
+            for (n, at) in anew.as_ref().unwrap_or(&other.runs) {
+                let spot = &coming.spots[*at];
+                if allowed[spot.class as usize] {
+                    let order = (
+                        victim.priority,
+                        !view.has_image(spot.machine, image),
+                        other.share,
+                        std::cmp::Reverse(entry.born),
+                    );
+                    let run = &entry.runs[*n];
+                    candidates.push((order, *at, &other.job, run, victim, terms));
+                }
+            }
+        }
+        candidates.sort_by_key(|c| c.0);
+        let mut after = coming.clone();
+        let mut victims: Vec<Victim> = Vec::new();
+        // What has been found for some of the tasks.
+        let mut some: Option<Vec<Victim>> = None;
+        let mut most = admission::count(job, spec, &after, hints, settings, care);
+        let mut looks = 0;
+        for (_, at, other, run, victim, terms) in candidates {
+            let whole = victim.is_gang();
+            let mut left = run.tasks.len();
+            while left > 0 {
+                // Borrowed work counts as borrowed only down to the guarantee.
+                if !admission::may_preempt(spec, inside, victim, borrowed(victim, terms, &after)) {
+                    break;
+                }
+                let n = if whole { left } else { 1 };
+                left -= n;
+                after.free(at, &victim.team, victim.need.times(n));
+                match victims.last_mut() {
+                    Some(v) if v.job == *other && v.machine == run.machine => v.tasks += n,
+                    _ => victims.push(Victim {
+                        job: other.clone(),
+                        machine: run.machine.clone(),
+                        tasks: n,
+                    }),
+                }
+                // Only a machine that now holds a task can have made it fit.
+                if !after.spots[at].free.fits(&spec.need) {
+                    continue;
+                }
+                looks += 1;
+                if looks > LOOKS {
+                    return some.map(|v| (v, false));
+                }
+                let Ok(places) = admission::fit(job, spec, &after, hints, settings, care) else {
+                    continue;
+                };
+                if places.len() <= most {
+                    continue;
+                }
+                most = places.len();
+                // Only what was cleared where the job will be is needed.
+                let used: BTreeSet<&str> = places.iter().map(|p| &*p.machine).collect();
+                let needed = victims.iter().filter(|v| used.contains(v.machine.as_str()));
+                let needed: Vec<Victim> = needed.cloned().collect();
+                if most >= wanted {
+                    return Some((needed, true));
+                }
+                some = Some(needed);
             }
-            some = Some(needed);
         }
+        some.map(|v| (v, false))
     }
-    some.map(|v| (v, false))
 }
 
 /// How many places a job needs at once: a service all, as its replicas serve
