--- a/src/admission.rs
+++ b/src/admission.rs
@@ -5,9 +5,10 @@
 //! preferred one relaxes upward and is finally admitted spread.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeSet, BinaryHeap, HashSet};
 use std::rc::Rc;
 
+use foldhash::HashMap;
 use serde::Serialize;
 use tokio::time::Instant;
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -19,10 +19,11 @@
 
 pub async fn serve(node: Rc<Node>, listener: Listener) {
     let limits = ServerLimits {
-        // The rest is for the mesh, the state, the cloud and direct orders.
-        connections: node.settings.deployment.machine_limits.sockets * 4 / 5,
+        connections: node.settings.served_connections(),
         idle: node.settings.lease() * 4,
         arrive: Duration::from_secs(5),
+        // One report connection a machine, for as long as it reports here.
+        stays: |request| request.path == "/agent/beat",
     };
     let handler = Rc::new(move |request: Request| -> crate::http::Answer {
         let node = node.clone();
--- a/src/http.rs
+++ b/src/http.rs
@@ -23,8 +23,8 @@
 pub const BODY_LIMIT: usize = 64 * 1024;
 const HEAD_LIMIT: usize = 8 * 1024;
 const HEADERS: usize = 48;
-/// A watch response has no size limit by PROTOCOL; this bounds what a broken
-/// peer can make us hold.
+/// What an answer may hold, unless the client says otherwise: this bounds what
+/// a broken peer can make us hold.
 const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
 
 #[derive(Debug, Clone)]
@@ -202,6 +202,16 @@
     /// A request, once begun, must have arrived after this long; so must the
     /// client have taken its answer.
     pub arrive: Duration,
+    /// Whose connections are not closed after the answer when most are taken:
+    /// the others come back on new ones, and none is shut out by those that
+    /// idle.
+    pub stays: fn(&Request) -> bool,
+}
+
+impl ServerLimits {
+    fn is_crowded(&self, open: usize) -> bool {
+        open > self.connections / 4 * 3
+    }
 }
 
 /// Serves until dropped. Must run inside a `LocalSet`.
@@ -221,16 +231,19 @@
             drop(stream);
             continue;
         }
-        open.set(open.get() + 1);
-        let (open, handler) = (open.clone(), handler.clone());
+        let (count, handler) = (Count::new(&open), handler.clone());
         tokio::task::spawn_local(async move {
-            let _ = converse(stream, limits, handler).await;
-            open.set(open.get() - 1);
+            let _ = converse(stream, limits, handler, &count.0).await;
         });
     }
 }
 
-async fn converse(mut stream: Stream, limits: ServerLimits, handler: Handler) -> io::Result<()> {
+async fn converse(
+    mut stream: Stream,
+    limits: ServerLimits,
+    handler: Handler,
+    open: &Cell<usize>,
+) -> io::Result<()> {
     let mut buf: Vec<u8> = Vec::new();
     loop {
         let mut begun: Option<Instant> = (!buf.is_empty()).then(Instant::now);
@@ -261,7 +274,9 @@
             // Idle connections hold no buffer: there may be many.
             buf = Vec::new();
         }
+        let stays = (limits.stays)(&request);
         let response = handler(request).await;
+        let keep = keep && (stays || !limits.is_crowded(open.get()));
         let bytes = encode(&response, keep);
         match timeout(limits.arrive, stream.write_all(&bytes)).await {
             Ok(done) => done?,
@@ -284,10 +299,33 @@
     NoAnswer(String),
     #[error("malformed answer: {0}")]
     Malformed(String),
+    #[error("answer too large")]
+    TooLarge,
 }
 
-struct Idle {
+/// Counts one for as long as it lives.
+struct Count(Rc<Cell<usize>>);
+
+impl Count {
+    fn new(of: &Rc<Cell<usize>>) -> Self {
+        of.set(of.get() + 1);
+        Count(of.clone())
+    }
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+struct Connection {
     stream: Stream,
+    _open: Count,
+}
+
+struct Idle {
+    connection: Connection,
     since: Instant,
 }
 
@@ -297,6 +335,11 @@
     idle: RefCell<HashMap<SocketAddrV4, Vec<Idle>>>,
     /// An idle connection older than this is not trusted to be open still.
     keep: Duration,
+    /// How many connections are open, in use or idle, and may be.
+    open: Rc<Cell<usize>>,
+    most: usize,
+    /// The longest answer that is read.
+    answer: usize,
 }
 
 const IDLE_PER_ADDRESS: usize = 4;
@@ -307,7 +350,60 @@
             net,
             idle: RefCell::default(),
             keep,
+            open: Rc::default(),
+            most: usize::MAX,
+            answer: ANSWER_LIMIT,
+        }
+    }
+
+    /// The same with other bounds: on connections, and on an answer's bytes.
+    pub fn bounded(self, most: usize, answer: usize) -> Self {
+        Client {
+            most,
+            answer,
+            ..self
+        }
+    }
+
+    /// How many connections are open.
+    pub fn connections(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Makes room for one more connection, by closing the one that has been
+    /// idle longest; false when all are in use.
+    fn make_room(&self) -> bool {
+        if self.open.get() < self.most {
+            return true;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle
+            .iter()
+            .filter_map(|(addr, list)| Some((list.first()?.since, *addr)))
+            .min_by_key(|(since, _)| *since);
+        let Some((_, addr)) = oldest else {
+            return false;
+        };
+        if let Some(list) = idle.get_mut(&addr) {
+            list.remove(0);
+            if list.is_empty() {
+                idle.remove(&addr);
+            }
+        }
+        true
+    }
+
+    async fn dial(&self, addr: SocketAddrV4) -> io::Result<Connection> {
+        if !self.make_room() {
+            return Err(io::Error::other("all connections are in use"));
         }
+        // Counted from here on, as several may dial at once.
+        let open = Count::new(&self.open);
+        let stream = self.net.dial(addr).await?;
+        Ok(Connection {
+            stream,
+            _open: open,
+        })
     }
 
     pub async fn call(
@@ -320,9 +416,9 @@
     ) -> Result<Response, CallError> {
         let deadline = Instant::now() + limit;
         let reused = self.idle.borrow_mut().get_mut(&addr).and_then(|v| v.pop());
-        let mut stream = match reused {
-            Some(idle) if idle.since.elapsed() < self.keep => idle.stream,
-            _ => match tokio::time::timeout_at(deadline, self.net.dial(addr)).await {
+        let mut connection = match reused {
+            Some(idle) if idle.since.elapsed() < self.keep => idle.connection,
+            _ => match tokio::time::timeout_at(deadline, self.dial(addr)).await {
                 Ok(Ok(s)) => s,
                 Ok(Err(e)) => return Err(CallError::NotSent(e.to_string())),
                 Err(_) => return Err(CallError::NotSent("connecting took too long".into())),
@@ -336,11 +432,12 @@
         .into_bytes();
         out.extend_from_slice(&body);
         let exchange = async {
-            stream.write_all(&out).await?;
-            read_response(&mut stream).await
+            connection.stream.write_all(&out).await?;
+            read_response(&mut connection.stream, self.answer).await
         };
         match tokio::time::timeout_at(deadline, exchange).await {
             Err(_) => Err(CallError::NoAnswer("timed out".into())),
+            Ok(Err(e)) if e.kind() == io::ErrorKind::FileTooLarge => Err(CallError::TooLarge),
             Ok(Err(e)) => Err(CallError::NoAnswer(e.to_string())),
             Ok(Ok((response, keep))) => {
                 if keep {
@@ -348,7 +445,7 @@
                     let list = idle.entry(addr).or_default();
                     if list.len() < IDLE_PER_ADDRESS {
                         list.push(Idle {
-                            stream,
+                            connection,
                             since: Instant::now(),
                         });
                     }
@@ -372,9 +469,13 @@
     io::Error::new(io::ErrorKind::InvalidData, what.to_string())
 }
 
-async fn read_more(stream: &mut Stream, buf: &mut Vec<u8>) -> io::Result<()> {
-    if buf.len() > ANSWER_LIMIT {
-        return Err(bad("answer too large"));
+fn too_large() -> io::Error {
+    io::Error::from(io::ErrorKind::FileTooLarge)
+}
+
+async fn read_more(stream: &mut Stream, buf: &mut Vec<u8>, most: usize) -> io::Result<()> {
+    if buf.len() > most {
+        return Err(too_large());
     }
     buf.reserve(4096);
     match stream.read_buf(buf).await? {
@@ -383,10 +484,10 @@
     }
 }
 
-async fn read_response(stream: &mut Stream) -> io::Result<(Response, bool)> {
+async fn read_response(stream: &mut Stream, most: usize) -> io::Result<(Response, bool)> {
     let mut buf = Vec::new();
     loop {
-        read_more(stream, &mut buf).await?;
+        read_more(stream, &mut buf, most).await?;
         let mut headers = [httparse::EMPTY_HEADER; HEADERS];
         let mut head = httparse::Response::new(&mut headers);
         let head_len = match head.parse(&buf) {
@@ -413,19 +514,20 @@
         let status = head.code.unwrap_or(0);
         let mut rest = buf.split_off(head_len);
         let body = if chunked {
-            read_chunks(stream, rest).await?
+            read_chunks(stream, rest, most).await?
         } else if let Some(n) = length {
-            if n > ANSWER_LIMIT {
-                return Err(bad("answer too large"));
+            if n > most {
+                return Err(too_large());
             }
+            rest.reserve(n.saturating_sub(rest.len()));
             while rest.len() < n {
-                read_more(stream, &mut rest).await?;
+                read_more(stream, &mut rest, most).await?;
             }
             rest.truncate(n);
             rest
         } else {
             keep = false;
-            while read_more(stream, &mut rest).await.is_ok() {}
+            while read_more(stream, &mut rest, most).await.is_ok() {}
             rest
         };
         let response = Response {
@@ -438,19 +540,19 @@
     }
 }
 
-async fn read_chunks(stream: &mut Stream, mut buf: Vec<u8>) -> io::Result<Vec<u8>> {
+async fn read_chunks(stream: &mut Stream, mut buf: Vec<u8>, most: usize) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
     loop {
         match httparse::parse_chunk_size(&buf) {
             Err(_) => return Err(bad("chunk size")),
-            Ok(httparse::Status::Partial) => read_more(stream, &mut buf).await?,
+            Ok(httparse::Status::Partial) => read_more(stream, &mut buf, most).await?,
             Ok(httparse::Status::Complete((used, size))) => {
                 let size = usize::try_from(size).map_err(|_| bad("chunk size"))?;
-                if body.len().saturating_add(size) > ANSWER_LIMIT {
-                    return Err(bad("answer too large"));
+                if body.len().saturating_add(size) > most {
+                    return Err(too_large());
                 }
                 while buf.len() < used + size + 2 {
-                    read_more(stream, &mut buf).await?;
+                    read_more(stream, &mut buf, most).await?;
                 }
                 body.extend_from_slice(&buf[used..used + size]);
                 buf.drain(..used + size + 2);
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -906,7 +906,7 @@
         (Ok(addr), Ok(bytes)) => {
             // As long as a worker waits for its own reports.
             let limit = Duration::from_secs(4).min(node.settings.lease() / 4);
-            node.client
+            node.workers
                 .call(addr, "POST", "/orders", Some(bytes), limit)
                 .await
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -27,7 +27,10 @@
 pub struct Node {
     pub settings: Settings,
     pub net: Net,
+    /// For the state service and the cloud.
     pub client: Rc<Client>,
+    /// For orders to workers: bounded, as there are many of them.
+    pub workers: Client,
     pub store: Store,
     /// Tells this run of the process from the earlier ones of the same name.
     pub incarnation: u64,
@@ -72,7 +75,10 @@
         let now = Instant::now();
         let d = &settings.deployment;
         let count = d.count as f64;
-        let client = Rc::new(Client::new(net.clone(), settings.lease()));
+        let client = Client::new(net.clone(), settings.lease());
+        let client = Rc::new(client.bounded(usize::MAX, settings.answer_bytes()));
+        let workers = Client::new(net.clone(), settings.lease());
+        let workers = workers.bounded(settings.order_connections(), crate::http::BODY_LIMIT * 4);
         // The limits are shared by all controllers, which do not count for
         // one another: each keeps to its part, a little below it.
         let budget = Budget::new(
@@ -92,6 +98,7 @@
         Rc::new(Node {
             net,
             client,
+            workers,
             store,
             incarnation: rng.random_range(1..u64::from(u32::MAX)),
             started: now,
@@ -241,15 +248,16 @@
         // and more than the memory holds.
         let stale = self.settings.lease() / 2;
         let mut heard = Instant::now();
+        let mut behind = false;
         loop {
-            if !self.view.borrow().loaded || heard.elapsed() > stale {
+            if !self.view.borrow().loaded || behind || heard.elapsed() > stale {
                 if let Err(error) = self.load().await {
                     tracing::debug!(%error, "state not read");
                     sleep(self.store.jitter(Duration::from_millis(200))).await;
                     continue;
                 }
-                // Half commits among pages are mended by the first watch.
                 heard = Instant::now();
+                behind = false;
             }
             let opened = Instant::now();
             let after = self.view.borrow().revision;
@@ -268,9 +276,11 @@
                         .advance(answer.events, answer.revision);
                     self.announce();
                 }
-                Err(StoreError::TooOld) => {
-                    tracing::info!("the watch has fallen behind: reading all again");
-                    self.view.borrow_mut().loaded = false;
+                Err(error @ (StoreError::TooOld | StoreError::TooLarge)) => {
+                    // The same request would bring the same answer: pages are
+                    // bounded, and hold each record once.
+                    tracing::info!(%error, "the watch has fallen behind: reading all again");
+                    behind = true;
                 }
                 Err(error) => {
                     tracing::debug!(%error, "watch failed");
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -2,11 +2,12 @@
 //! conditional write per batch. A round takes what has gathered, so that its
 //! batches widen with the load.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
 
+use foldhash::HashMap;
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
 
@@ -92,6 +93,7 @@
     let mut rounds = Rounds::default();
     let idle = node.settings.report() / 3;
     let least = node.request_gap();
+    let mut looked: Option<Instant> = None;
     loop {
         tokio::select! {
             () = node.stir.notified() => {}
@@ -102,25 +104,31 @@
         if !node.view.borrow().loaded || !node.has_state() {
             continue;
         }
-        machines::release_silent(&node);
-        machines::release_gone(&node);
+        // Both go through all machines, and are about leases and returns: a
+        // few times a report interval is soon enough.
+        if looked.is_none_or(|t| t.elapsed() > idle / 2) {
+            looked = Some(Instant::now());
+            machines::release_silent(&node);
+            machines::release_gone(&node);
+        }
         let begun = Instant::now();
         let mut busy = Duration::ZERO;
+        // What ends in this span stands in one commit: reports come so often
+        // that it is not felt.
+        let gather = node.settings.report() / 100;
         // As many commits as it takes; each waits for its answer.
         loop {
             // However much the budget lets through, rounds leave the processor
             // to beats, probes and acceptance for as long as they took it; what
             // gathers meanwhile widens the next.
-            if !busy.is_zero() {
-                sleep(busy).await;
-            }
+            sleep(busy).await;
             let wanted = (rounds.wrote / 2).max(1);
             node.store.ready(Class::Round, wanted).await;
             let deciding = Instant::now();
             let Some(batch) = round(&node, &mut rounds) else {
                 break;
             };
-            busy = deciding.elapsed();
+            busy = deciding.elapsed().max(gather);
             rounds.wrote = batch.writes.len();
             let ends = batch.ends;
             match node.commit(Class::Round, batch.guards, batch.writes).await {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -394,6 +394,27 @@
         Duration::from_secs_f64(self.deployment.workers.report_s)
     }
 
+    /// Connections that users, probes and workers may hold together. What is
+    /// left beside them and those for orders is for the state service, the
+    /// cloud and the mesh.
+    pub fn served_connections(&self) -> usize {
+        self.deployment.machine_limits.sockets * 13 / 16
+    }
+
+    /// Connections to workers for direct orders: one a machine would be as many
+    /// again as report here, when one controller is left with all of them.
+    pub fn order_connections(&self) -> usize {
+        (self.deployment.machine_limits.sockets / 8).max(1)
+    }
+
+    /// The longest answer that is read: what it becomes in memory is some three
+    /// times that, beside the view.
+    pub fn answer_bytes(&self) -> usize {
+        // A page of the state, of up to 512 KiB by the protocol, is always read.
+        let least = crate::http::BODY_LIMIT * 16;
+        ((self.deployment.machine_limits.memory_mb * 1024.0 * 1024.0 / 16.0) as usize).max(least)
+    }
+
     pub fn value_bytes(&self) -> usize {
         (self.deployment.state.value_kb * 1024.0) as usize
     }
--- a/src/store.rs
+++ b/src/store.rs
@@ -189,12 +189,16 @@
     NoLease,
     #[error("the watched revision is too old")]
     TooOld,
+    /// A watch that holds more than this controller can take at once.
+    #[error("the answer is too large")]
+    TooLarge,
 }
 
 impl From<CallError> for StoreError {
     fn from(e: CallError) -> Self {
         match e {
             CallError::NotSent(_) => StoreError::Refused(0),
+            CallError::TooLarge => StoreError::TooLarge,
             other => StoreError::NoAnswer(other.to_string()),
         }
     }
--- a/src/view.rs
+++ b/src/view.rs
@@ -5,9 +5,10 @@
 //! watch, so that the next round does not decide on what it has just changed;
 //! entries beyond `revision` serve planning only, never a launch.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+use foldhash::HashMap;
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 
@@ -198,6 +199,19 @@
     true
 }
 
+/// A job's runs by what tells them apart.
+type Runs<'a> = HashMap<(&'a str, u64, bool), &'a Ranges>;
+
+fn runs_of(job: &Option<Job>) -> Runs<'_> {
+    let runs = job.iter().flat_map(|j| &j.runs);
+    runs.map(|r| ((r.machine.as_str(), r.attempt, r.stop), &r.tasks))
+        .collect()
+}
+
+fn machines_of<'a>(runs: &Runs<'a>) -> BTreeSet<&'a str> {
+    runs.keys().map(|k| k.0).collect()
+}
+
 impl View {
     /// Takes a full read in place of what was known.
     pub fn reload(&mut self, pairs: Vec<Pair>, revision: u64) {
@@ -407,41 +421,30 @@
         let open = |job: &Option<Job>| job.as_ref().is_some_and(Job::is_open);
         // Whether a job runs may be all that has changed for its machines.
         let all = open(&old) != open(job);
-        let runs = |job: &Option<Job>| {
-            let mut map: HashMap<(String, u64, bool), Ranges> = HashMap::new();
-            for run in job.iter().flat_map(|j| &j.runs) {
-                let key = (run.machine.clone(), run.attempt, run.stop);
-                map.insert(key, run.tasks.clone());
-            }
-            map
-        };
-        let (before, after) = (runs(&old), runs(job));
+        let (before, after) = (runs_of(&old), runs_of(job));
         for (key, tasks) in &before {
             if all || after.get(key) != Some(tasks) {
-                self.changes.machines.insert(key.0.clone());
+                self.changes.machines.insert(key.0.to_string());
             }
         }
         for (key, tasks) in &after {
             if all || before.get(key) != Some(tasks) {
-                self.changes.machines.insert(key.0.clone());
+                self.changes.machines.insert(key.0.to_string());
             }
         }
-        let on = |runs: &HashMap<(String, u64, bool), Ranges>| -> BTreeSet<String> {
-            runs.keys().map(|k| k.0.clone()).collect()
-        };
-        let (here, there) = (on(&before), on(&after));
+        let (here, there) = (machines_of(&before), machines_of(&after));
         for machine in here.difference(&there) {
-            if let Some(set) = self.bookings.get_mut(machine) {
+            if let Some(set) = self.bookings.get_mut(*machine) {
                 set.remove(id);
                 if set.is_empty() {
-                    self.bookings.remove(machine);
+                    self.bookings.remove(*machine);
                 }
             }
         }
         let image = job.as_ref().and_then(|j| j.spec.as_ref());
         let image = image.map(|s| self.image_names.number(&s.image));
         for machine in there.difference(&here) {
-            let set = self.bookings.entry(machine.clone()).or_default();
+            let set = self.bookings.entry(machine.to_string()).or_default();
             set.insert(id.to_string());
             let Some(image) = image else { continue };
             let number = self.machine_names.number(machine);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1,15 +1,18 @@
 //! Tables of cases for the pure decisions.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde_json::json;
 use shelfhoist::admission::{self, Care, Hints, Plan, Wait};
 use shelfhoist::api::{Refusal, check_submission, read_submission};
 use shelfhoist::draft::{Draft, Released};
-use shelfhoist::http::{Parsed, parse_request};
+use shelfhoist::http::{CallError, Client, Parsed, Response, ServerLimits, parse_request, serve};
 use shelfhoist::machines::{EndKey, Hand, Proof, reconcile};
 use shelfhoist::model::*;
+use shelfhoist::net::{Fabric, Net};
 use shelfhoist::settings::Settings;
 use shelfhoist::view::{View, group_key, job_key, part_id, part_key};
 use shelfhoist::wire::*;
@@ -1084,3 +1087,82 @@
         assert!((1.5..=18.0).contains(&s), "{mine}: {s}");
     }
 }
+
+/// One controller may be left with every worker: connections for orders are
+/// bounded, the longest idle goes first, and one in use is never closed.
+#[test]
+fn order_connections_are_bounded() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let fabric = Rc::new(Fabric::default());
+        let at = |n: usize| -> SocketAddrV4 { format!("10.1.0.{n}:1").parse().expect("address") };
+        let net = |n| Net::Fabric(fabric.clone(), at(n));
+        let limits = ServerLimits {
+            connections: 4,
+            idle: Duration::from_secs(60),
+            arrive: Duration::from_secs(5),
+            stays: |r| r.path == "/worker",
+        };
+        let handler: shelfhoist::http::Handler = Rc::new(|r| {
+            Box::pin(async move {
+                if r.path == "/slow" {
+                    tokio::time::sleep(Duration::from_secs(2)).await;
+                }
+                let mut answer = Response::empty(200);
+                if r.path == "/long" {
+                    answer.body.resize(5000, b' ');
+                }
+                answer
+            })
+        });
+        for n in 1..=5 {
+            let listener = net(n).listen(at(n)).await.expect("listen");
+            tokio::task::spawn_local(serve(listener, limits, handler.clone()));
+        }
+        let client = Rc::new(Client::new(net(9), Duration::from_secs(30)).bounded(3, 4096));
+        let limit = Duration::from_secs(4);
+        for n in [1, 2, 3, 4, 5, 1] {
+            let answer = client.call(at(n), "GET", "/worker", None, limit).await;
+            assert_eq!(answer.expect("answer").status, 200);
+            assert!(client.connections() <= 3);
+        }
+        assert_eq!(client.connections(), 3);
+        // All in use: the next is not sent, and says so.
+        let slow: Vec<_> = (1..=3)
+            .map(|n| {
+                let client = client.clone();
+                tokio::task::spawn_local(async move {
+                    client.call(at(n), "GET", "/slow", None, limit).await
+                })
+            })
+            .collect();
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let refused = client.call(at(4), "GET", "/worker", None, limit).await;
+        assert!(matches!(refused, Err(CallError::NotSent(_))), "{refused:?}");
+        for call in slow {
+            assert_eq!(call.await.expect("task").expect("answer").status, 200);
+        }
+        // An answer beyond the bound is told from one that never came.
+        let long = client.call(at(1), "GET", "/long", None, limit).await;
+        assert!(matches!(long, Err(CallError::TooLarge)), "{long:?}");
+        // A crowded server lets go of those that may come back, not of workers.
+        let workers = Client::new(net(9), Duration::from_secs(30));
+        let users = Client::new(net(9), Duration::from_secs(30));
+        for _ in 0..3 {
+            let held = Client::new(net(9), Duration::from_secs(30));
+            let answer = held.call(at(5), "GET", "/worker", None, limit).await;
+            assert_eq!(answer.expect("answer").status, 200);
+            std::mem::forget(held);
+        }
+        let user = users.call(at(5), "GET", "/user", None, limit).await;
+        assert_eq!(user.expect("answer").status, 200);
+        assert_eq!(users.connections(), 0, "kept by a crowded server");
+        let worker = workers.call(at(5), "GET", "/worker", None, limit).await;
+        assert_eq!(worker.expect("answer").status, 200);
+        assert_eq!(workers.connections(), 1);
+    });
+}
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -198,6 +198,27 @@
     });
 }
 
+/// A watch that holds more than is read of one answer gives way to pages at
+/// once: the same request would bring the same answer for ever.
+#[test]
+fn a_watch_that_is_too_large_leads_to_pages() {
+    in_world(|| async {
+        let w = World::new(17).await;
+        let service = w.submit(job(1, "daemon", 2, 0.0)).await;
+        w.until(&service, "running", 60).await;
+        w.state.trouble.set(Trouble::FatWatch);
+        let began = tokio::time::Instant::now();
+        for n in 2..6 {
+            let array = w.submit(job(n, "batch", 2, 1.0)).await;
+            w.until(&array, "done", 30).await;
+        }
+        let took = began.elapsed();
+        assert!(took < Duration::from_secs(20), "{took:?}");
+        assert_eq!(w.running(&service), 2);
+        w.assert_kept();
+    });
+}
+
 /// Workers report inside their zone, so a cut between zones ends nothing.
 #[test]
 fn zones_that_are_apart_keep_their_work() {
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -74,6 +74,8 @@
     Late,
     /// Refused, as in an outage.
     Down,
+    /// Watches bring more than a controller reads of one answer.
+    FatWatch,
 }
 
 #[derive(Default)]
@@ -203,7 +205,11 @@
         let news = log.iter().filter(|e| e["stamp"].as_u64() > Some(after));
         let events: Vec<&Value> = news.collect();
         let at = *self.revision.borrow();
-        Response::json(200, &json!({"ledger_rev": at, "events": events}))
+        let mut answer = Response::json(200, &json!({"ledger_rev": at, "events": events}));
+        if self.trouble.get() == Trouble::FatWatch && !events.is_empty() {
+            answer.body.resize(16 << 20, b' ');
+        }
+        answer
     }
 }
 
@@ -327,6 +333,7 @@
     connections: 1000,
     idle: Duration::from_secs(600),
     arrive: Duration::from_secs(60),
+    stays: |_| true,
 };
 
 impl World {
