Gangs and services go into a commit before arrays, and before ends when left out

A round writes 16 records, ten for ends of arrays; arrays come back with every end and go first by the queue's order (the shortest first), so that a controller places one to three jobs a second. Room is still given by the queue's order; only what enters the commit changes. Also, an array whose places stand in more parts than one commit writes was booked never: now as many as fit, by parts. Test: fails without.

--- a/src/draft.rs
+++ b/src/draft.rs
@@ -206,18 +206,52 @@
         Released::Yes
     }
 
-    /// Books a job's waiting tasks; false when the commit is full.
-    pub fn book(&mut self, id: &str, spec: &Spec, places: &[Place]) -> bool {
-        let parts: BTreeSet<&str> = places.iter().map(|p| &*p.part).collect();
-        let machines: BTreeSet<usize> = places.iter().map(|p| p.at).collect();
-        if !self.has_room(id, Some(&spec.team), &parts, machines.len()) {
-            return false;
+    /// The places that this commit has room for: all of a gang's or none, of
+    /// other jobs as many as there are. An array may have its places in more
+    /// parts than any commit writes: the rest follow, or it would wait for ever.
+    fn bookable<'p>(&self, id: &str, spec: &Spec, places: &'p [Place]) -> Vec<&'p Place> {
+        let mut parts: BTreeSet<&str> = places.iter().map(|p| &*p.part).collect();
+        let mut machines: BTreeSet<usize> = places.iter().map(|p| p.at).collect();
+        if self.has_room(id, Some(&spec.team), &parts, machines.len()) {
+            return places.iter().collect();
+        }
+        let mut some = Vec::new();
+        if spec.is_gang() {
+            return some;
+        }
+        parts.clear();
+        machines.clear();
+        for place in places {
+            let new_part = parts.insert(&place.part);
+            let new_machine = machines.insert(place.at);
+            if (!new_part && !new_machine)
+                || self.has_room(id, Some(&spec.team), &parts, machines.len())
+            {
+                some.push(place);
+                continue;
+            }
+            if new_part {
+                parts.remove(&*place.part);
+            }
+            if new_machine {
+                machines.remove(&place.at);
+            }
+        }
+        some
+    }
+
+    /// Books a job's waiting tasks, and tells how many; none when the commit
+    /// is full.
+    pub fn book(&mut self, id: &str, spec: &Spec, places: &[Place]) -> usize {
+        let places = self.bookable(id, spec, places);
+        if places.is_empty() {
+            return 0;
         }
         let Some(job) = self.edit_job(id) else {
-            return false;
+            return 0;
         };
-        book(job, spec, places);
-        for place in places {
+        book(job, spec, &places);
+        for place in &places {
             if let Some(slot) = self
                 .edit_part(&place.part)
                 .machines
@@ -227,7 +261,7 @@
             }
         }
         *self.edit_team(&spec.team) += spec.need.times(places.len());
-        true
+        places.len()
     }
 
     /// Changes jobs alone; false when the commit is full.
@@ -273,7 +307,7 @@
 /// Books the places for the job's next waiting tasks. A gang's attempt is new.
 /// Tasks that were never started share the first attempt, so that those on one
 /// machine share one run in the job's record; those that were get a new one.
-pub fn book(job: &mut Job, spec: &Spec, places: &[Place]) {
+pub fn book(job: &mut Job, spec: &Spec, places: &[&Place]) {
     job.cleared = false;
     let again = job.attempt.max(1) + 1;
     if spec.is_gang() {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1340,6 +1340,7 @@
                     for p in &places {
                         plan.take(p, &spec.team, spec.need);
                     }
+                    let places: Vec<_> = places.iter().collect();
                     crate::draft::book(&mut planned, spec, &places);
                 }
                 // More room there does not help: it has its share already.
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -84,6 +84,8 @@
     wrote: usize,
     /// The last commit was too long to send: the next writes few records.
     narrow: bool,
+    /// Gangs or services had their places, but no room in the last commit.
+    crowded: bool,
 }
 
 /// Rounds of decisions: what has ended is recorded and what waits is placed,
@@ -314,15 +316,22 @@
     };
     let mut plan = Plan::of(&view);
     let mut draft = Draft::new(&view, ops);
+    // Ends go first, as they make room; but where gangs or services had their
+    // places and the last commit no room for them, they go before the ends.
+    let ends_first = !rounds.crowded;
     let for_arrays = if ids.is_empty() { ops } else { ops * 5 / 8 };
-    let ends = take_ends(node, rounds, &mut draft, &mut plan, for_arrays);
+    let mut ends = match ends_first {
+        true => take_ends(node, rounds, &mut draft, &mut plan, for_arrays),
+        false => Vec::new(),
+    };
     node.reasons
         .borrow_mut()
         .retain(|id, _| view.jobs.get(id).is_some_and(|e| e.value.waiting() > 0));
     let mine: BTreeSet<&str> = ids.iter().map(String::as_str).collect();
     let mut blocked = Vec::new();
     let mut search = Search::default();
-    let mut admitted = 0;
+    let mut found: Vec<(&str, Spec, Vec<Place>)> = Vec::new();
+    let mut touched = draft.parts();
     let alive: Vec<String> = {
         let peers = node.peers.borrow();
         let alive = peers.alive(node, now);
@@ -351,7 +360,7 @@
         };
         let mut hints = Hints::new(&view, home);
         if own {
-            hints.touched = draft.parts();
+            hints.touched = touched.clone();
         }
         let places = match search.place(node, &hints, &plan, id, job, &spec) {
             Ok(places) => places,
@@ -367,31 +376,48 @@
                 continue;
             }
         };
-        if own {
-            if !draft.book(id, &spec, &places) {
-                // It goes into the next commit; its room is kept.
-                note(node, id, Wait::Queue, now);
-            } else {
-                admitted += 1;
-                tracing::debug!(
-                    job = id,
-                    class = spec.class,
-                    tasks = places.len(),
-                    machine = &*places[0].machine,
-                    kind = view.classes[plan.spots[places[0].at].class as usize].kind,
-                    "places"
-                );
-                if draft.job(id).is_none_or(|j| j.waiting() == 0) {
-                    node.reasons.borrow_mut().remove(id);
-                } else {
-                    blocked.push(id.to_string());
-                    note(node, id, Wait::NoRoom, now);
-                }
-            }
-        }
         for place in &places {
             plan.take(place, &spec.team, spec.need);
         }
+        if own {
+            touched.extend(places.iter().map(|p| p.part.to_string()));
+            found.push((id, spec, places));
+        }
+    }
+    // Each has its room by the queue's order. Into the commit go first those
+    // whose tasks stay or start together: arrays come back with every end, and
+    // would fill commit after commit while whole machines stand empty.
+    found.sort_by_key(|(_, spec, _)| spec.kind == Kind::Array);
+    rounds.crowded = false;
+    let mut admitted = 0;
+    for (id, spec, places) in found {
+        let booked = draft.book(id, &spec, &places);
+        if booked < places.len() {
+            // The rest go into the next commit, every other time before ends.
+            rounds.crowded |= ends_first && spec.kind != Kind::Array;
+            note(node, id, Wait::Queue, now);
+        }
+        if booked == 0 {
+            continue;
+        }
+        admitted += 1;
+        tracing::debug!(
+            job = id,
+            class = spec.class,
+            tasks = booked,
+            machine = &*places[0].machine,
+            kind = view.classes[plan.spots[places[0].at].class as usize].kind,
+            "places"
+        );
+        if draft.job(id).is_none_or(|j| j.waiting() == 0) {
+            node.reasons.borrow_mut().remove(id);
+        } else if booked == places.len() {
+            blocked.push(id.to_string());
+            note(node, id, Wait::NoRoom, now);
+        }
+    }
+    if !ends_first {
+        ends = take_ends(node, rounds, &mut draft, &mut plan, ops);
     }
     if admitted == 0 {
         preempt(node, rounds, &mut draft, &mut search, &plan, &blocked, now);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -486,6 +486,43 @@
     .expect("report")
 }
 
+/// An array may have its places in more parts than a commit writes, a gang goes
+/// whole or not at all.
+#[test]
+fn what_a_commit_cannot_hold_is_booked_in_parts() {
+    let set = settings();
+    for (kind, want) in [(Kind::Array, 4), (Kind::Gang, 0)] {
+        let mut view = view_with(&[]);
+        for n in 0..9 {
+            let slot = json!({"t": "small", "f": {"c": 4000, "g": 0, "m": 16_000_000}});
+            let part = json!({"m": {format!("m{n}"): slot}});
+            view.advance(
+                vec![Event::put(part_key(&format!("a/n0.{n}")), &part, 3)],
+                3,
+            );
+        }
+        let mut wide = spec(kind, 9, 4.0);
+        wide.need.ram = Amount(0);
+        view.jobs.insert(
+            "job-1".into(),
+            shelfhoist::view::Entry {
+                version: 3,
+                value: Job::new(wide.clone(), 1),
+            },
+        );
+        let job = view.jobs["job-1"].value.clone();
+        let plan = Plan::of(&view);
+        let mut terms = set.clone();
+        terms.deployment.teams[0].cpus_max = 1e6;
+        let places = admission::fit(&job, &wide, &plan, &hints(&view), &terms, Care::Lax);
+        let places = places.expect("room for all");
+        assert_eq!(places.len(), 9);
+        let mut draft = Draft::new(&view, 6);
+        assert_eq!(draft.book("job-1", &wide, &places), want, "{kind:?}");
+        assert!(draft.len() <= 6);
+    }
+}
+
 /// Safety 2 and 3: what a report proves, and what it does not.
 #[test]
 fn only_a_newer_report_under_our_token_proves_an_end() {
@@ -779,6 +816,7 @@
         else {
             break;
         };
+        let places: Vec<_> = places.iter().collect();
         shelfhoist::draft::book(&mut job, &s, &places);
         // Every second one ends, the rest stays scattered.
         let ends: Vec<_> = job
