Machines that join are published before rounds, not behind them

Now joins and leaves have the turn of claims, at most every quarter of a report interval; a part that a booking was quicker at does not hold up the others.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -519,6 +519,16 @@
         entry.1 += view.booked_on(id).cpus.units();
         entry.2 += view.type_of(&m.kind).map_or(0.0, |t| t.cpus);
     }
+    // Machines that nobody counts on yet, and where work on accelerators fits.
+    let active = |m: &Machine| m.life == Life::Active;
+    let machines = view.machines.iter().filter(|(_, e)| active(&e.value));
+    let unlisted = machines.filter(|(id, _)| view.slot(id).is_none()).count();
+    let plan = Plan::of(&view);
+    let places: Vec<(&str, usize)> = view
+        .zone_names
+        .all()
+        .map(|zone| (zone, spare_places(&view, &plan, Some(zone))))
+        .collect();
     let mut waiting: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
     for (_, id) in &view.open {
         if let Some(job) = view.jobs.get(id).map(|e| &e.value)
@@ -532,6 +542,8 @@
     tracing::debug!(
         ?kinds,
         ?waiting,
+        unlisted,
+        ?places,
         "fleet (number, CPUs booked, CPUs), tasks (waiting, booked)"
     );
 }
@@ -672,7 +684,7 @@
         if let Some(at) = without.find(&view, id) {
             without.spots[at].free = Room::default();
         }
-        if spare_places(&view, &without) < 2 * gpu.tasks as usize {
+        if spare_places(&view, &without, None) < 2 * gpu.tasks as usize {
             continue;
         }
         let fits = jobs.iter().all(|job| {
@@ -1163,14 +1175,14 @@
 }
 
 /// Free places of the accelerators' usual shape.
-fn spare_places(view: &View, plan: &Plan) -> usize {
+fn spare_places(view: &View, plan: &Plan, zone: Option<&str>) -> usize {
     let Some(gpu) = &view.gpu_spec else {
         return 0;
     };
     let allowed: Vec<bool> = view
         .classes
         .iter()
-        .map(|c| gpu.allows(&c.kind, &c.zone, c.spot))
+        .map(|c| gpu.allows(&c.kind, &c.zone, c.spot) && zone.is_none_or(|z| z == &*c.zone))
         .collect();
     plan.spots
         .iter()
@@ -1200,7 +1212,7 @@
     let orphaned = node.settings.lease() * 3;
     let plan = Plan::of(&view);
     let kept = headroom(node, &view, &plan);
-    let mut spare = spare_places(&view, &plan);
+    let mut spare = spare_places(&view, &plan, None);
     let mut leaving = Vec::new();
     for (id, entry) in &view.machines {
         let m = &entry.value;
@@ -1401,7 +1413,7 @@
     if let Some(gpu) = &view.gpu_spec {
         let wanted = headroom(node, &view, &plan);
         let mut tries = 0;
-        while spare_places(&view, &plan) < wanted && tries < most {
+        while spare_places(&view, &plan, None) < wanted && tries < most {
             tries += 1;
             let bounds = Bounds {
                 care: Care::Lax,
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -1045,41 +1045,88 @@
     // Starting value of the design: at most every 5 s per record.
     let mut last: HashMap<String, Instant> = HashMap::new();
     let interval = Duration::from_secs(5);
-    // Machines that can take work from now on gather for a moment.
+    // Machines that can take work from now on gather for a moment, and while
+    // many of them boot for a little longer: each time costs a write a part.
     let gather = node.request_gap() * 4;
+    let apart = node.settings.report() / 4;
+    let mut joined: Option<Instant> = None;
     loop {
         let _ = timeout(node.settings.report() / 3, node.rooms_wanted.notified()).await;
-        sleep(gather).await;
+        let since = joined.map_or(apart, |t| t.elapsed());
+        sleep(gather.max(apart.saturating_sub(since))).await;
         if !node.has_state() {
             continue;
         }
-        let now = Instant::now();
-        last.retain(|_, t| now.saturating_duration_since(*t) < interval);
-        let parts = room_changes(&node, &last);
-        if parts.is_empty() {
+        last.retain(|_, t| t.elapsed() < interval);
+        let found = room_changes(&node, &last);
+        if found.is_empty() {
             continue;
         }
-        let mut guards = Vec::new();
-        let mut writes = Vec::new();
-        for (id, version, part) in parts {
-            guards.push(guard(part_key(&id), version));
-            writes.push(put(part_key(&id), &part));
-            last.insert(id, now);
+        // A machine that is in no record is rented for nothing, and work that
+        // is sent to a silent one waits for its lease: neither stands behind
+        // the rounds, which would have the whole budget while work waits.
+        let mut changes = found;
+        let mut class = Class::Room;
+        if changes.iter().any(|c| c.members) {
+            class = Class::Claim;
+            joined = Some(Instant::now());
+            node.store.ready(class, changes.len()).await;
+            changes = room_changes(&node, &last);
         }
-        if let Err(error) = node.commit(Class::Room, guards, writes).await {
-            tracing::debug!(%error, "room not published");
+        let now = Instant::now();
+        last.extend(changes.iter().map(|c| (c.id.clone(), now)));
+        while !changes.is_empty() {
+            let mut guards = Vec::new();
+            let mut writes = Vec::new();
+            for c in &changes {
+                guards.push(guard(part_key(&c.id), c.version));
+                writes.push(put(part_key(&c.id), &c.part));
+            }
+            match node.commit(class, guards, writes).await {
+                Err(StoreError::Conflict(keys)) => {
+                    // A booking was quicker there; the others go on.
+                    tracing::debug!(?keys, "room not published");
+                    let known = changes.len();
+                    changes.retain(|c| {
+                        let failed = keys.contains(&part_key(&c.id));
+                        if failed {
+                            last.remove(&c.id);
+                        }
+                        !failed
+                    });
+                    node.hurry();
+                    node.rooms_wanted.notify_one();
+                    if changes.len() == known {
+                        break;
+                    }
+                }
+                Err(error) => {
+                    tracing::debug!(%error, "room not published");
+                    break;
+                }
+                Ok(_) => break,
+            }
         }
     }
 }
 
+/// A part's record as it should be.
+struct RoomChange {
+    id: String,
+    version: u64,
+    part: Part,
+    /// Machines join or leave.
+    members: bool,
+}
+
 /// Parts of the zones' records that differ from what this controller knows of
 /// the machines that it holds; as many as one commit takes.
-fn room_changes(node: &Node, recent: &HashMap<String, Instant>) -> Vec<(String, u64, Part)> {
+fn room_changes(node: &Node, recent: &HashMap<String, Instant>) -> Vec<RoomChange> {
     let view = node.view.borrow();
     let hands = node.hands.borrow();
     let now = Instant::now();
     let quiet = node.settings.lease().mul_f64(0.6);
-    let mut parts: BTreeMap<String, Part> = BTreeMap::new();
+    let mut parts: BTreeMap<String, (Part, bool)> = BTreeMap::new();
     for (id, hand) in hands.iter() {
         let Some(machine) = view.machines.get(id) else {
             continue;
@@ -1140,19 +1187,25 @@
         }
         let record = parts.entry(part).or_insert_with_key(|part| {
             let known = view.parts.get(part).map(|e| e.value.clone());
-            known.unwrap_or_default()
+            (known.unwrap_or_default(), false)
         });
+        record.1 |= known.is_some() != slot.is_some();
         match slot {
             Some(slot) => {
-                record.machines.insert(id.clone(), slot);
+                record.0.machines.insert(id.clone(), slot);
             }
             None => {
-                record.machines.remove(id);
+                record.0.machines.remove(id);
             }
         }
     }
     parts
         .into_iter()
-        .map(|(id, part)| (id.clone(), view.part_version(&id), part))
+        .map(|(id, (part, members))| RoomChange {
+            version: view.part_version(&id),
+            id,
+            part,
+            members,
+        })
         .collect()
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -95,6 +95,9 @@
             .cloned()
             .unwrap_or_else(|| "".into())
     }
+    pub fn all(&self) -> impl Iterator<Item = &str> {
+        self.names.iter().map(|n| &**n)
+    }
     pub fn len(&self) -> usize {
         self.names.len()
     }
