Silent machines are doubted until they hear us; proofs outlast our own new claims

A machine that was silent for a lease and reports again got work at once, even if no answer reaches it (found by a stand-in test whose machine names changed); its reports count again once it has answered an order or shown a newer token. So that the new claim voids nothing, ends in the queue move to the new token when the holder was the same throughout. Stand-ins take a shape: controllers, zones, limits, machines up at the start; controllers can be frozen.

--- a/src/machines.rs
+++ b/src/machines.rs
@@ -90,6 +90,10 @@
     pub session: Option<(u64, Instant)>,
     /// Since when its reports arrive while answers and orders do not.
     pub deaf_since: Option<Instant>,
+    /// It was silent for a whole lease: that it reports again does not tell
+    /// whether it hears us. Its reports count once it has answered an order
+    /// or shown a newer token.
+    pub doubted: bool,
 }
 
 impl Hand {
@@ -111,6 +115,7 @@
             newest_beat: (0, 0),
             session: None,
             deaf_since: None,
+            doubted: false,
         }
     }
 
@@ -169,6 +174,10 @@
         if report.token != self.token {
             return false;
         }
+        if is_beat && self.doubted {
+            return false;
+        }
+        self.doubted = false;
         let at = (report.session, report.seq);
         if let Some(old) = &self.report
             && at <= (old.session, old.seq)
@@ -620,16 +629,21 @@
             }
         }
         let recalled = report.notice_s.is_some();
+        let mut doubted = false;
         let at = (report.session, report.seq);
         if let Some(hand) = self.hands.borrow_mut().get_mut(&id) {
             if !hand.hear(&report, self.settings.lease(), now) {
                 return Response::unavailable("a newer report has come", 1);
             }
             let first = hand.report.is_none();
-            if hand.take(report, true) && first {
+            doubted = hand.doubted;
+            if hand.take(report.clone(), true) && first {
                 self.rooms_wanted.notify_one();
             }
         }
+        if doubted {
+            self.ask_claim(&id, &report, false);
+        }
         if recalled {
             self.fleet.borrow_mut().recalled.insert(id.clone());
         }
@@ -728,6 +742,25 @@
     }
 }
 
+/// Ends that wait to be recorded stay proven when this controller, holder
+/// throughout, has only taken a newer token: the commit of the claim shows that
+/// nobody else held the machine in between, and nothing was launched since.
+fn keep_proofs(node: &Node, taken: &[(String, u64, (u64, u64))]) {
+    let hands = node.hands.borrow();
+    let renewed: HashMap<&str, (u64, u64)> = taken
+        .iter()
+        .filter_map(|(id, token, _)| Some((id.as_str(), (hands.get(id)?.token, *token))))
+        .filter(|(_, (before, after))| before + 1 == *after)
+        .collect();
+    for (key, proof) in node.ends.borrow_mut().iter_mut() {
+        if let Some((before, after)) = renewed.get(key.machine.as_str())
+            && proof.token == *before
+        {
+            proof.token = *after;
+        }
+    }
+}
+
 async fn claim_some(node: &Node) -> Result<(), StoreError> {
     let ops = node.settings.deployment.state.txn_ops;
     let mut wanted: Vec<String> = Vec::new();
@@ -806,6 +839,7 @@
             }
         };
         let now = Instant::now();
+        keep_proofs(node, &taken);
         for (id, token, seen) in taken {
             tracing::info!(machine = id, token, "claimed");
             let mut hands = node.hands.borrow_mut();
@@ -1003,6 +1037,7 @@
             lost.extend(all_bookings(&view, id));
             // What it says next counts as a new beginning.
             hand.report = None;
+            hand.doubted = true;
             hand.launched.clear();
         }
     }
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -4,8 +4,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
+use std::future::Future;
 use std::net::SocketAddrV4;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -31,36 +34,79 @@
     addr(&format!("10.0.0.{}:8080", i + 1))
 }
 
-/// Two controllers in zone a, one in zone b.
-fn location(i: usize) -> &'static str {
-    if i + 1 == CONTROLLERS { "b" } else { "a" }
-}
-
 fn mesh(i: usize) -> String {
     format!("10.0.0.{}:8081", i + 1)
 }
 
-pub fn settings(i: usize) -> Settings {
-    let others: Vec<Value> = (0..CONTROLLERS)
-        .filter(|j| *j != i)
-        .map(|j| json!({"node": format!("n{j}"), "location": location(j), "addr": mesh(j)}))
-        .collect();
-    let text = json!({
-        "node": format!("n{i}"), "location": location(i),
-        "serve_on": controller(i).to_string(), "mesh_addr": mesh(i), "others": others,
-        "external": {"cloud": CLOUD, "state": STATE},
-        "deployment": {
-            "count": CONTROLLERS, "zones": ["a", "b"],
-            "teams": [{"name": "t", "cpus": 8.0, "cpus_max": 12.0},
-                      {"name": "u", "cpus": 4.0, "cpus_max": 8.0}],
-            "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 20.0,
-                        "gang_peer_s": 5.0, "cancel_s": 30.0},
-            "state": {"rps": 150.0, "write_rps": 90.0, "value_kb": 8.0, "txn_ops": 12},
-            "cloud": {"rps": 5.0, "list_lag_s": 5.0},
-            "machine_limits": {"cpu": 0.1, "memory_mb": 64.0, "sockets": 500}
+/// A deployment as the stand-ins play it.
+#[derive(Clone)]
+pub struct Shape {
+    pub controllers: usize,
+    /// Where each controller is.
+    pub locations: Vec<&'static str>,
+    pub zones: Vec<&'static str>,
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+    /// Name, guarantee and limit, in CPUs.
+    pub teams: Vec<(String, f64, f64)>,
+    pub state: Value,
+    pub sockets: usize,
+    /// Machines that are up at the start.
+    pub machines: usize,
+}
+
+impl Default for Shape {
+    /// Two controllers in zone a, one in zone b.
+    fn default() -> Self {
+        Shape {
+            controllers: CONTROLLERS,
+            locations: vec!["a", "a", "b"],
+            zones: vec!["a", "b"],
+            report_s: 1.0,
+            lease_s: 10.0,
+            cancel_s: 30.0,
+            teams: vec![("t".into(), 8.0, 12.0), ("u".into(), 4.0, 8.0)],
+            state: json!({"rps": 150.0, "write_rps": 90.0, "value_kb": 8.0, "txn_ops": 12}),
+            sockets: 500,
+            machines: 0,
         }
-    });
-    Settings::parse(&text.to_string()).expect("settings")
+    }
+}
+
+impl Shape {
+    pub fn settings(&self, i: usize) -> Settings {
+        let others: Vec<Value> = (0..self.controllers)
+            .filter(|j| *j != i)
+            .map(|j| {
+                json!({"node": format!("n{j}"), "location": self.locations[j], "addr": mesh(j)})
+            })
+            .collect();
+        let teams: Vec<Value> = self
+            .teams
+            .iter()
+            .map(|(name, cpus, most)| json!({"name": name, "cpus": cpus, "cpus_max": most}))
+            .collect();
+        let text = json!({
+            "node": format!("n{i}"), "location": self.locations[i],
+            "serve_on": controller(i).to_string(), "mesh_addr": mesh(i), "others": others,
+            "external": {"cloud": CLOUD, "state": STATE},
+            "deployment": {
+                "count": self.controllers, "zones": self.zones, "teams": teams,
+                "workers": {"report_s": self.report_s, "lease_s": self.lease_s,
+                            "gang_wait_s": self.lease_s * 2.0, "gang_peer_s": self.lease_s / 2.0,
+                            "cancel_s": self.cancel_s},
+                "state": self.state,
+                "cloud": {"rps": 5.0, "list_lag_s": 5.0},
+                "machine_limits": {"cpu": 0.1, "memory_mb": 64.0, "sockets": self.sockets}
+            }
+        });
+        Settings::parse(&text.to_string()).expect("settings")
+    }
+
+    fn lease(&self) -> Duration {
+        Duration::from_secs_f64(self.lease_s)
+    }
 }
 
 /// What the state service is to do with the commits that come next.
@@ -87,6 +133,9 @@
     /// How many commits the trouble still meets.
     pub troubled: Cell<usize>,
     next_hold: Cell<u64>,
+    /// What one commit may write, and one value hold.
+    txn_ops: Cell<usize>,
+    value_bytes: Cell<usize>,
 }
 
 impl State {
@@ -157,14 +206,15 @@
             return Response::json(409, &json!({"failed": failed, "ledger_rev": at}));
         }
         let writes = body["writes"].as_array().unwrap_or(&empty);
-        assert!(writes.len() <= 12, "txn_ops");
+        assert!(writes.len() <= self.txn_ops.get(), "txn_ops");
         if writes.is_empty() {
             return Response::json(200, &json!({"ledger_rev": at}));
         }
         let at = at + 1;
         for w in writes {
             let event = if let Some(key) = w["set"].as_str() {
-                assert!(w["value"].to_string().len() <= 8192, "value_kb: {key}");
+                let size = w["value"].to_string().len();
+                assert!(size <= self.value_bytes.get(), "value_kb: {key}");
                 pairs.insert(key.to_string(), (w["value"].clone(), at));
                 json!({"set": key, "value": w["value"], "stamp": at})
             } else {
@@ -321,8 +371,12 @@
     cancelled: RefCell<HashMap<String, Instant>>,
     hires: RefCell<HashMap<String, Value>>,
     pub broken: RefCell<Vec<String>>,
+    pub shape: Shape,
+    /// Machines that were ever rented.
+    rented: Cell<usize>,
     pub starts: Cell<usize>,
     controllers: RefCell<Vec<Option<JoinHandle<()>>>>,
+    frozen: Vec<watch::Sender<bool>>,
     client: Client,
     seed: u64,
     /// How often controllers were started.
@@ -336,8 +390,39 @@
     stays: |_| true,
 };
 
+/// A controller that can stand still while its clocks run on.
+struct Freezable {
+    set: LocalSet,
+    frozen: watch::Sender<bool>,
+}
+
+impl Future for Freezable {
+    type Output = ();
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if *self.frozen.borrow() {
+            // Whoever thaws it wakes it.
+            let mut thawed = self.frozen.subscribe();
+            let waker = cx.waker().clone();
+            spawn_local(async move {
+                let _ = thawed.wait_for(|f| !f).await;
+                waker.wake();
+            });
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.set).poll(cx)
+    }
+}
+
 impl World {
+    pub fn freeze(&self, i: usize, frozen: bool) {
+        self.frozen[i].send_replace(frozen);
+    }
+
     pub async fn new(seed: u64) -> Rc<Self> {
+        Self::of(seed, Shape::default()).await
+    }
+
+    pub async fn of(seed: u64, shape: Shape) -> Rc<Self> {
         let fabric = Rc::new(Fabric::default());
         let client = Client::new(
             Net::Fabric(fabric.clone(), addr(USERS)),
@@ -352,7 +437,12 @@
             hires: RefCell::default(),
             broken: RefCell::default(),
             starts: Cell::new(0),
-            controllers: RefCell::new((0..CONTROLLERS).map(|_| None).collect()),
+            rented: Cell::new(0),
+            controllers: RefCell::new((0..shape.controllers).map(|_| None).collect()),
+            frozen: (0..shape.controllers)
+                .map(|_| watch::Sender::new(false))
+                .collect(),
+            shape,
             client,
             seed,
             runs: Cell::new(0),
@@ -371,13 +461,21 @@
             LIMITS,
             Rc::new(move |r| cloud.clone().cloud(r)),
         ));
-        for i in 0..CONTROLLERS {
+        let limit = |name: &str| world.shape.state[name].as_f64().expect("a number");
+        world.state.txn_ops.set(limit("txn_ops") as usize);
+        let value_bytes = (limit("value_kb") * 1024.0) as usize;
+        world.state.value_bytes.set(value_bytes);
+        for n in 0..world.shape.machines {
+            let zone = world.shape.zones[n % world.shape.zones.len()];
+            world.boot(&json!({"grade": "big", "yard": zone}));
+        }
+        for i in 0..world.shape.controllers {
             world.start(i);
         }
         let watcher = world.clone();
         spawn_local(async move {
             loop {
-                sleep(Duration::from_millis(100)).await;
+                sleep(watcher.shape.lease().div_f64(100.0)).await;
                 watcher.check();
             }
         });
@@ -389,13 +487,14 @@
         // Another run of the process draws other numbers.
         self.runs.set(self.runs.get() + 1);
         let seed = self.seed * 1000 + self.runs.get();
-        let node = Node::new(settings(i), net, seed);
+        let node = Node::new(self.shape.settings(i), net, seed);
         // A set of its own: all that the controller spawned ends with it.
         let set = LocalSet::new();
         set.spawn_local(async move {
             let _ = node.run().await;
         });
-        self.controllers.borrow_mut()[i] = Some(spawn_local(set));
+        let frozen = self.frozen[i].clone();
+        self.controllers.borrow_mut()[i] = Some(spawn_local(Freezable { set, frozen }));
     }
 
     pub fn kill(&self, i: usize) {
@@ -435,15 +534,19 @@
                 *used.entry(job["crew"].to_string()).or_default() +=
                     job["vcpus"].as_f64().unwrap_or(0.0);
                 let told = self.cancelled.borrow().get(id).copied();
-                if told.is_some_and(|t| t.elapsed() > Duration::from_secs(30)) {
+                let most = Duration::from_secs_f64(self.shape.cancel_s);
+                if told.is_some_and(|t| t.elapsed() > most) {
                     self.broken
                         .borrow_mut()
                         .push(format!("ran_cancelled: {task} on {name}"));
                 }
             }
         }
-        for (team, limit) in [("\"t\"", 12.0), ("\"u\"", 8.0)] {
-            if used.get(team).is_some_and(|u| *u > limit) {
+        for (team, _, limit) in &self.shape.teams {
+            if used
+                .get(&json!(team).to_string())
+                .is_some_and(|u| u > limit)
+            {
                 self.broken
                     .borrow_mut()
                     .push(format!("quota: {team} {used:?}"));
@@ -459,7 +562,7 @@
                     let t = |name: &str, vcpus: f64| {
                         json!({"label": name, "vcpus": vcpus, "cards": 0.0, "ram_gb": 16.0,
                             "local_gb": 50.0, "pull_gb_per_s": 1.0, "hourly": vcpus / 10.0,
-                            "spot_price": vcpus / 30.0, "ready_s": 4.0, "yards": ["a", "b"]})
+                            "spot_price": vcpus / 30.0, "ready_s": 4.0, "yards": self.shape.zones})
                     };
                     Response::json(200, &json!({"grades": [t("small", 4.0), t("big", 8.0)]}))
                 }
@@ -499,7 +602,8 @@
     }
 
     fn boot(self: &Rc<Self>, body: &Value) -> String {
-        let n = self.hires.borrow().len() * 50 + self.workers.borrow().len();
+        let n = self.rented.get();
+        self.rented.set(n + 1);
         let name = format!("host-{n:06}");
         let worker = Rc::new(Worker {
             name: name.clone(),
@@ -528,7 +632,7 @@
     /// Zones a and b no longer reach each other.
     pub fn part_zones(&self) {
         for (w, _) in self.workers.borrow().values() {
-            for i in (0..CONTROLLERS).filter(|i| location(*i) != w.zone) {
+            for i in (0..self.shape.controllers).filter(|i| self.shape.locations[*i] != w.zone) {
                 self.fabric.cut(w.port, controller(i));
                 self.fabric.cut(controller(i), w.port);
             }
@@ -571,13 +675,17 @@
         w.renewed.set(Instant::now());
         let net = Net::Fabric(self.fabric.clone(), w.port);
         let client = Client::new(net, Duration::from_secs(30));
+        let (lease, count) = (self.shape.lease(), self.shape.controllers);
+        let report = Duration::from_secs_f64(self.shape.report_s);
         let mut to = 0;
         loop {
-            w.expire(Duration::from_secs(10));
+            w.expire(lease);
             let session = w.session.get();
             let sent = Instant::now();
             let body = serde_json::to_vec(&w.report()).expect("report");
-            w.sent.borrow_mut().push(body.clone());
+            if self.shape.machines == 0 {
+                w.sent.borrow_mut().push(body.clone());
+            }
             let call = client.call(
                 controller(to),
                 "POST",
@@ -589,10 +697,10 @@
             if w.deaf.get() {
                 sleep(Duration::from_secs(4).saturating_sub(sent.elapsed())).await;
             }
-            w.expire(Duration::from_secs(10));
+            w.expire(lease);
             match answer {
                 _ if w.deaf.get() => {
-                    to = (to + 1) % CONTROLLERS;
+                    to = (to + 1) % count;
                     sleep(Duration::from_secs(1)).await;
                 }
                 Ok(r) if r.status == 200 => {
@@ -607,16 +715,16 @@
                             continue;
                         }
                     }
-                    sleep(Duration::from_secs(1)).await;
+                    sleep(report).await;
                 }
                 Ok(r) if r.status == 421 => {
                     let foreman = r.parse::<Redirect>().ok().and_then(|r| r.report_to);
                     let named = foreman.and_then(|f| f.trim_start_matches('n').parse().ok());
-                    to = named.unwrap_or((to + 1) % CONTROLLERS);
+                    to = named.unwrap_or((to + 1) % count);
                     sleep(Duration::from_millis(300)).await;
                 }
                 _ => {
-                    to = (to + 1) % CONTROLLERS;
+                    to = (to + 1) % count;
                     sleep(Duration::from_secs(1)).await;
                 }
             }
@@ -660,7 +768,12 @@
         self.jobs.borrow_mut().insert(id.clone(), job.clone());
         for i in 0..60 {
             let (status, _) = self
-                .ask(i % CONTROLLERS, "POST", "/submissions", Some(&job))
+                .ask(
+                    i % self.shape.controllers,
+                    "POST",
+                    "/submissions",
+                    Some(&job),
+                )
                 .await;
             if status == 200 || status == 201 {
                 return id;
@@ -682,7 +795,7 @@
     pub async fn until(&self, id: &str, stage: &str, limit: u64) {
         let began = Instant::now();
         while began.elapsed() < Duration::from_secs(limit) {
-            for i in 0..CONTROLLERS {
+            for i in 0..self.shape.controllers {
                 if self.stage(i, id).await.as_deref() == Some(stage) {
                     return;
                 }
