--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -15,6 +15,7 @@
 use crate::admission::{self, Care, Hints, Plan};
 use crate::draft::{COMMIT_BYTES, Groups};
 use crate::http::Response;
+use crate::machines::Hand;
 use crate::model::{Hire, Job, Life, Machine, Part, Renter, Room, Spec, Types};
 use crate::node::{Node, guard, put};
 use crate::policy::MachineFacts;
@@ -1102,6 +1103,22 @@
     set_lives(node, &failed).await;
 }
 
+/// Zones of which most machines that this controller holds are silent at once:
+/// they are cut off rather than lost, and come back together.
+fn cut_off<'a>(view: &View, silent: impl Iterator<Item = (&'a String, bool)>) -> HashSet<String> {
+    let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
+    for (id, is_silent) in silent {
+        if let Some(m) = view.machines.get(id) {
+            let zone = zones.entry(&m.value.zone).or_default();
+            zone.0 += 1;
+            zone.1 += usize::from(is_silent);
+        }
+    }
+    let most = |(all, silent): &(usize, usize)| *silent >= 4 && silent * 2 > *all;
+    let cut = zones.iter().filter(|(_, counts)| most(counts));
+    cut.map(|(zone, _)| zone.to_string()).collect()
+}
+
 /// Machines held by this controller that should leave, and why. Only the
 /// holder knows when a machine was last heard: what another controller has
 /// not told is no sign of silence.
@@ -1111,6 +1128,8 @@
     let hands = node.hands.borrow();
     let limit = node.settings.lease();
     let deaf = node.fleet.borrow().deaf(limit, now);
+    let silent = |hand: &Hand| now.saturating_duration_since(hand.heard) > limit;
+    let cut = cut_off(&view, hands.iter().map(|(id, hand)| (id, silent(hand))));
     let mut leaving: Vec<_> = deaf
         .into_iter()
         .map(|id| (id, Life::Returning, "reports, but hears nothing"))
@@ -1134,6 +1153,7 @@
             // cloud's answer proves it sooner than the lease does.
             (true, _) => limit.min(node.settings.report() * 3),
             (false, true) => limit,
+            (false, false) if cut.contains(&view.machines[id].value.zone) => limit * 3,
             (false, false) => limit * 2,
         };
         let deaf = hand.deaf_since.is_some_and(|t| {
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -906,6 +906,12 @@
             if hand.in_flight || hand.unresolved || hand.quiet_until > now {
                 continue;
             }
+            // A call to a machine that is gone, hung or cut off takes a
+            // connection until it times out: hundreds of them would leave none
+            // for the rest. What is heard again has its orders by the answer.
+            if now.saturating_duration_since(hand.heard) > node.settings.report() * 2 {
+                continue;
+            }
             let greeting = hand.report.is_none();
             if plan.orders.is_empty() && !greeting {
                 continue;
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -1,5 +1,6 @@
 //! The whole service against stand-ins, in simulated time.
 
+#[allow(dead_code)]
 mod stand_ins;
 
 use std::time::Duration;
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -54,6 +54,8 @@
     pub sockets: usize,
     /// Machines that are up at the start.
     pub machines: usize,
+    /// What the cloud says of boots; an idle machine goes back after as long.
+    pub ready_s: f64,
 }
 
 impl Default for Shape {
@@ -70,6 +72,7 @@
             state: json!({"rps": 150.0, "write_rps": 90.0, "value_kb": 8.0, "txn_ops": 12}),
             sockets: 500,
             machines: 0,
+            ready_s: 4.0,
         }
     }
 }
@@ -562,7 +565,7 @@
                     let t = |name: &str, vcpus: f64| {
                         json!({"label": name, "vcpus": vcpus, "cards": 0.0, "ram_gb": 16.0,
                             "local_gb": 50.0, "pull_gb_per_s": 1.0, "hourly": vcpus / 10.0,
-                            "spot_price": vcpus / 30.0, "ready_s": 4.0, "yards": self.shape.zones})
+                            "spot_price": vcpus / 30.0, "ready_s": self.shape.ready_s, "yards": self.shape.zones})
                     };
                     Response::json(200, &json!({"grades": [t("small", 4.0), t("big", 8.0)]}))
                 }
@@ -639,6 +642,38 @@
         }
     }
 
+    /// A zone with its machines and controllers is cut off from everything, or
+    /// is back.
+    pub fn cut_zone(&self, zone: &str, cut: bool) {
+        let set = |a: SocketAddrV4, b: SocketAddrV4| {
+            for (from, to) in [(a, b), (b, a)] {
+                match cut {
+                    true => self.fabric.cut(from, to),
+                    false => self.fabric.mend(from, to),
+                }
+            }
+        };
+        for i in 0..self.shape.controllers {
+            let here = self.shape.locations[i] == zone;
+            for (w, _) in self.workers.borrow().values() {
+                if (w.zone == zone) != here {
+                    set(w.port, controller(i));
+                }
+            }
+            for j in 0..self.shape.controllers {
+                if here && self.shape.locations[j] != zone {
+                    set(controller(i), controller(j));
+                    set(controller(i), addr(&mesh(j)));
+                    set(controller(j), addr(&mesh(i)));
+                }
+            }
+            if here {
+                set(controller(i), addr(STATE));
+                set(controller(i), addr(CLOUD));
+            }
+        }
+    }
+
     /// The machine and all on it are gone at once.
     pub fn lose(&self, name: &str) {
         if let Some((worker, tasks)) = self.workers.borrow_mut().remove(name) {
@@ -762,10 +797,20 @@
         }
     }
 
+    /// A job that workers may be told to run.
+    pub fn remember(&self, job: &Value) {
+        let id = job["name_id"].as_str().expect("id").to_string();
+        self.jobs.borrow_mut().insert(id, job.clone());
+    }
+
+    pub fn is_service(&self, id: &str) -> bool {
+        self.jobs.borrow()[id]["cut"] == "daemon"
+    }
+
     /// Submits until it is accepted, to whichever controller answers.
     pub async fn submit(&self, job: Value) -> String {
         let id = job["name_id"].as_str().expect("id").to_string();
-        self.jobs.borrow_mut().insert(id.clone(), job.clone());
+        self.remember(&job);
         for i in 0..60 {
             let (status, _) = self
                 .ask(
@@ -850,6 +895,12 @@
             .expect("it runs somewhere")
     }
 
+    /// How often a worker's lease has run out.
+    pub fn lapsed(&self) -> u64 {
+        let workers = self.workers.borrow();
+        workers.values().map(|(w, _)| w.session.get() - 1).sum()
+    }
+
     pub fn assert_kept(&self) {
         assert!(
             self.broken.borrow().is_empty(),
