--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -64,11 +64,6 @@
 /// Each accepted job is answered for at every controller: services run whole,
 /// the rest is done.
 async fn all_answered(w: &World, ids: &[String], limit: f64, after: &str) {
-    eprintln!(
-        w.workers.borrow().len(),
-        w.lapsed(),
-        0
-    );
     let began = Instant::now();
     let mut left: Vec<(usize, &String)> = Vec::new();
     for i in 0..w.shape.controllers {
