--- a/src/policy.rs
+++ b/src/policy.rs
@@ -140,7 +140,7 @@
         name: "rent_price_ratio",
         subject: Subject::Job,
         range: Some(span(1.0, 1e6)),
-        default: "if(kind == array, if(has_deadline, 20, 5), 1000000)",
+        default: "if(kind == array, if(has_deadline, 20, 7), 1000000)",
         meaning: "the dearest offer to rent, over the cheapest type's price for a task",
     },
     Rule {
