--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -33,7 +33,7 @@
     assert_eq!(built_in.queue_order(&job), [0.0, 2.0, 2.0, 0.0, 300.0]);
     assert_eq!(built_in.rent_window_s(&job), 60.0);
     assert_eq!(built_in.rent_turnover(&job), 0.5);
-    assert_eq!(built_in.rent_price_ratio(&job), 5.0);
+    assert_eq!(built_in.rent_price_ratio(&job), 7.0);
     let machine = MachineFacts {
         boot_s: 45.0,
         ..MachineFacts::default()
