Workers whose claim takes long stay; who is cut off leaves his writes to others

Now such a worker gets an answer that it must drop (a token below its own): its lease is not renewed and no rule rests on it, but it stays and reports again, and its claim is on its way. Who is not heard and has no state lease counts as one who writes nothing.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -53,6 +53,8 @@
     pub reports: HashMap<String, Report>,
     /// When a machine was last sent to its home, and whether it was soon back.
     pub sent_home: HashMap<String, (Instant, bool)>,
+    /// Since when a worker is kept here that waits to be claimed.
+    pub kept: HashMap<String, Instant>,
     /// When a machine was last sent back to its holder.
     pub sent_back: HashMap<String, Instant>,
     /// When any was sent home that another controller holds.
@@ -1302,6 +1304,7 @@
     known.extend(booting(&view).map(|(id, _, _, _)| id));
     fleet.first_seen.retain(|id, _| known.contains(id.as_str()));
     fleet.sent_home.retain(|id, _| known.contains(id.as_str()));
+    fleet.kept.retain(|id, _| known.contains(id.as_str()));
     fleet
         .empty_since
         .retain(|id, _| known.contains(id.as_str()));
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -625,6 +625,14 @@
                 return Response::json(200, &BeatAnswer { token: 0, orders });
             }
             if !self.claim(&id, &report).await {
+                if report.token > 0 && self.keeps(&id, Instant::now()) {
+                    // Dropped by the worker, as it shows a higher token: its
+                    // lease is not renewed, but it stays, and its claim is on
+                    // its way. One that goes on tries all that are cut off, and
+                    // is back when its lease is over.
+                    let orders = vec![];
+                    return Response::json(200, &BeatAnswer { token: 0, orders });
+                }
                 return Response::unavailable("not claimed yet", 1);
             }
         }
@@ -680,6 +688,18 @@
         )
     }
 
+    /// Whether a worker whose claim takes long should stay here: for half a
+    /// lease, and only where claims can be committed at all.
+    fn keeps(&self, id: &str, now: Instant) -> bool {
+        let lease = self.settings.lease();
+        let mut fleet = self.fleet.borrow_mut();
+        let first = fleet.kept.entry(id.to_string()).or_insert(now);
+        if now.saturating_duration_since(*first) > lease {
+            *first = now;
+        }
+        now.saturating_duration_since(*first) < lease / 2 && self.has_state()
+    }
+
     pub fn holds(&self, id: &str) -> bool {
         let view = self.view.borrow();
         let hands = self.hands.borrow();
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -168,7 +168,18 @@
     let total = node.settings.deployment.state.write_rps * 0.97;
     loop {
         sleep(interval(&node)).await;
-        let others = node.peers.borrow().demands(&node, Instant::now());
+        let mut others = node.peers.borrow().demands(&node, Instant::now());
+        // Who is not heard and has no state lease either writes nothing: he is
+        // cut off, or has ended, and his part is needed most just then. Only
+        // when there was time for all to sign.
+        if node.started.elapsed() > node.settings.lease() && node.has_state() {
+            let view = node.view.borrow();
+            for (peer, demand) in node.settings.others.iter().zip(&mut others) {
+                if demand.is_none() && !view.nodes.contains_key(&peer.name) {
+                    *demand = Some(0.0);
+                }
+            }
+        }
         let share = crate::store::write_share(total, node.store.demand(), &others);
         node.store.set_share(share);
     }
