--- a/src/admission.rs
+++ b/src/admission.rs
@@ -32,6 +32,8 @@
     OldAttempt,
     /// It failed before and is tried again later.
     BackOff,
+    /// It fails wherever it runs: a part of it is tried now and then.
+    Fails,
     /// Its tasks may not all be in the zones that have room.
     Spread,
     /// More tasks would not fit into the job's record.
@@ -183,6 +185,9 @@
     pub home: &'a str,
     /// Parts that the commit in the making writes anyway come before those.
     pub touched: BTreeSet<String>,
+    /// Machines that the job has failed on may be tried again: it has waited
+    /// long enough for another.
+    pub lenient: bool,
 }
 
 impl<'a> Hints<'a> {
@@ -191,6 +196,7 @@
             view,
             home,
             touched: BTreeSet::new(),
+            lenient: false,
         }
     }
 }
@@ -234,6 +240,9 @@
     /// good are taken from few parts, as each is a record to write.
     far: Vec<i64>,
     image: Option<u32>,
+    /// Machines that the job has just failed on, by number: the fault may be
+    /// theirs, and what fails at once is the first to have room again.
+    barred: Vec<u32>,
 }
 
 impl<'a> Field<'a> {
@@ -271,9 +280,16 @@
             hints,
             care,
             image: view.image(&spec.image),
+            barred: Vec::new(),
         }
     }
 
+    fn without(mut self, machines: &[String]) -> Self {
+        let names = &self.hints.view.machine_names;
+        self.barred = machines.iter().filter_map(|m| names.find(m)).collect();
+        self
+    }
+
     /// How many tasks of the accelerators' usual shape lose their place on
     /// this machine if the job's task takes it. Work without accelerators is
     /// kept off them only as far as it is in the way.
@@ -296,6 +312,9 @@
         if !gate.allowed || !spot.free.fits(&self.spec.need) {
             return false;
         }
+        if self.barred.contains(&spot.machine) {
+            return false;
+        }
         if !gate.in_way {
             return true;
         }
@@ -455,6 +474,8 @@
     find(job, spec, plan, hints, settings, care).map_or(0, |places| places.len())
 }
 
+/// The machines that a job has failed on come last: for one that fails on all
+/// of them, when there is no other; for the rest, once it has waited for one.
 fn find(
     job: &Job,
     spec: &Spec,
@@ -462,6 +483,25 @@
     hints: &Hints,
     settings: &Settings,
     care: Care,
+) -> Result<Vec<usize>, Wait> {
+    let found = find_off(&job.failed_on, job, spec, plan, hints, settings, care);
+    match found {
+        Err(_) if !job.failed_on.is_empty() && (hints.lenient || job.is_doubtful()) => {
+            find_off(&[], job, spec, plan, hints, settings, care)
+        }
+        found => found,
+    }
+}
+
+/// Places that are not on these machines.
+fn find_off(
+    barred: &[String],
+    job: &Job,
+    spec: &Spec,
+    plan: &Plan,
+    hints: &Hints,
+    settings: &Settings,
+    care: Care,
 ) -> Result<Vec<usize>, Wait> {
     let waiting = job.waiting();
     if waiting == 0 {
@@ -489,7 +529,7 @@
             spec.zone_cap().saturating_sub(here)
         })
         .collect();
-    let field = Field::new(spec, hints, care);
+    let field = Field::new(spec, hints, care).without(barred);
     if gang || spec.one_zone {
         // KEP-2724: one domain that takes them all; the best such one.
         let found = (0..caps.len())
@@ -554,6 +594,8 @@
 /// A job's place in the queue: lower goes first.
 #[derive(Debug, Clone, PartialEq, PartialOrd)]
 pub struct Rank {
+    /// It fails wherever it runs: all else goes first.
+    pub doubtful: bool,
     /// Room has been cleared for it already: the policy does not come into
     /// that, or what was stopped for one job would serve another.
     pub waits_for_room: bool,
@@ -587,6 +629,7 @@
             let facts = facts(job, spec, plan, settings, view, age);
             let starves = starves(job, spec, settings, age);
             let rank = Rank {
+                doubtful: job.is_doubtful(),
                 waits_for_room: !job.cleared,
                 patient: !starves,
                 keys: match starves {
--- a/src/draft.rs
+++ b/src/draft.rs
@@ -12,7 +12,7 @@
 use crate::node::{guard, put};
 use crate::settings::Settings;
 use crate::view::{View, group_key, job_key, part_id, part_key, team_key};
-use crate::wire::{Guard, Write};
+use crate::wire::{Guard, Kind, Write};
 
 /// Conditions that a commit may have for each of its writes, by the protocol.
 const GUARDS_PER_WRITE: usize = 4;
@@ -309,6 +309,10 @@
 /// machine share one run in the job's record; those that were get a new one.
 pub fn book(job: &mut Job, spec: &Spec, places: &[&Place]) {
     job.cleared = false;
+    // More replicas follow what has failed only once others run well.
+    if spec.kind == Kind::Service && job.is_doubtful() && job.booked() > 0 {
+        job.note_success();
+    }
     let again = job.attempt.max(1) + 1;
     if spec.is_gang() {
         job.attempt += 1;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -15,8 +15,8 @@
 use crate::admission::{self, Care, Hints, Plan};
 use crate::draft::{COMMIT_BYTES, Groups};
 use crate::http::Response;
-use crate::machines::Hand;
-use crate::model::{Hire, Job, Life, Machine, Part, Renter, Room, Spec, Types};
+use crate::machines::{EndKey, Hand};
+use crate::model::{DOUBT, Final, Hire, Job, Life, Machine, Part, Renter, Room, Spec, Types};
 use crate::node::{Node, guard, put};
 use crate::policy::MachineFacts;
 use crate::store::{Bucket, Class, StoreError};
@@ -656,6 +656,7 @@
     let gpu = view.gpu_spec.as_ref()?;
     let waits = |id: &String| {
         let job = view.jobs.get(id).map(|e| &e.value);
+        let job = job.filter(|j| !j.is_doubtful());
         job.is_some_and(|j| j.waiting() > 0 && j.spec.as_ref().is_some_and(|s| s.need.gpus.0 > 0))
     };
     if view.open.iter().any(|(_, id)| waits(id)) {
@@ -1166,17 +1167,93 @@
             leaving.push((id.clone(), Life::Returning, "silent"));
         } else if deaf {
             leaving.push((id.clone(), Life::Returning, "reports, but hears nothing"));
-        } else if life == Life::Active && hand.failed_jobs.len() >= 2 {
-            leaving.push((
-                id.clone(),
-                Life::Draining,
-                "fails the tasks of several jobs",
-            ));
+        } else if life == Life::Active && judgement(node, &view, id, hand) == Judgement::Sick {
+            leaving.push((id.clone(), Life::Draining, "fails what succeeds elsewhere"));
         }
     }
     leaving
 }
 
+/// What a machine's failures say of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Judgement {
+    /// Nothing, or the jobs fail on others as well.
+    Fine,
+    /// Several jobs failed there, and nobody knows yet whose fault it is.
+    Suspect,
+    /// A job that failed there has succeeded elsewhere since.
+    Sick,
+}
+
+/// What the failure of one job on a machine says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Blame {
+    Job,
+    Machine,
+    Unknown,
+}
+
+/// Whom to blame for a job's failure on a machine, by the job's record, which
+/// holds that failure: the machine, if the job has succeeded since; the job, if
+/// it fails on others, too, or is cancelled.
+pub fn blame(job: &Job, machine: &str) -> Blame {
+    match job.fin {
+        Final::Done => Blame::Machine,
+        Final::Cancelled => Blame::Job,
+        Final::Open if job.is_doubtful() => Blame::Job,
+        Final::Open if job.failed_on.iter().any(|m| m == machine) => Blame::Unknown,
+        Final::Open => Blame::Machine,
+    }
+}
+
+/// Judges a machine by jobs that succeed elsewhere; a job with a mistake fails
+/// on all machines alike, and would send one after another away.
+fn judgement(node: &Node, view: &View, machine: &str, hand: &Hand) -> Judgement {
+    let ends = node.ends.borrow();
+    let mut unknown = 0;
+    for id in &hand.failed_jobs {
+        let first = EndKey {
+            job: id.clone(),
+            machine: machine.to_string(),
+            attempt: 0,
+            task: 0,
+        };
+        let mut waiting = ends.range(first..);
+        let waits = waiting
+            .next()
+            .is_some_and(|(k, _)| k.job == *id && k.machine == machine);
+        let Some(job) = view.jobs.get(id) else {
+            continue;
+        };
+        match blame(&job.value, machine) {
+            _ if waits => unknown += 1,
+            Blame::Machine => return Judgement::Sick,
+            Blame::Unknown => unknown += 1,
+            Blame::Job => {}
+        }
+    }
+    match unknown {
+        0 | 1 => Judgement::Fine,
+        _ => Judgement::Suspect,
+    }
+}
+
+/// Machines that take no new work until it is known whose fault the failures
+/// there are: a quarter of those held at most, or many jobs with a mistake
+/// would leave no room to tell.
+pub fn suspects(node: &Node, view: &View, hands: &HashMap<String, Hand>) -> HashSet<String> {
+    let mut found: Vec<(usize, &String)> = hands
+        .iter()
+        .filter(|(_, hand)| hand.failed_jobs.len() > 1)
+        .filter(|(id, hand)| judgement(node, view, id, hand) == Judgement::Suspect)
+        .map(|(id, hand)| (hand.failed_jobs.len(), id))
+        .collect();
+    found.sort_by(|a, b| b.cmp(a));
+    let most = (hands.len() / 4).max(1);
+    let found = found.into_iter().take(most);
+    found.map(|(_, id)| id.clone()).collect()
+}
+
 /// How many tasks of the accelerators' usual shape there should be places
 /// for beyond those that run: none when no such job is open.
 fn headroom(node: &Node, view: &View, plan: &Plan) -> usize {
@@ -1184,7 +1261,9 @@
         return 0;
     };
     let open = view.open.iter().any(|(_, id)| {
-        let spec = view.jobs.get(id).and_then(|e| e.value.spec.as_ref());
+        let job = view.jobs.get(id).map(|e| &e.value);
+        let job = job.filter(|j| !j.is_doubtful());
+        let spec = job.and_then(|j| j.spec.as_ref());
         spec.is_some_and(|s| s.need.gpus.0 > 0)
     });
     if !open {
@@ -1355,6 +1434,9 @@
             continue;
         };
         let Some(spec) = &job.spec else { continue };
+        if job.is_doubtful() && !may_rent_once_more(&view, job, spec) {
+            continue;
+        }
         let age = ages
             .get(id)
             .map_or(0.0, |t| now.saturating_duration_since(*t).as_secs_f64());
@@ -1454,6 +1536,22 @@
     hires.into_iter().map(|h| h.1).take(most).collect()
 }
 
+/// A job that fails wherever it runs rents nothing: it is tried on what others
+/// have. Where nothing is there that could hold it, it may a few times more, or
+/// three sick machines in a row would be the end of a job in order.
+fn may_rent_once_more(view: &View, job: &Job, spec: &Spec) -> bool {
+    let holds = |class: &crate::view::Class| {
+        let room = view.class_type(class).map(Room::of_type);
+        spec.allows(&class.kind, &class.zone, class.spot)
+            && room.is_some_and(|r| r.fits(&spec.need))
+    };
+    let tries = DOUBT as u32 * 2;
+    let mut spots = view.spots();
+    job.booked() == 0
+        && job.errors <= tries
+        && !spots.any(|s| holds(&view.classes[s.class as usize]))
+}
+
 /// Every offer is known as a class of machines before the plan counts on it.
 fn name_offers(node: &Node) {
     let mut view = node.view.borrow_mut();
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -121,6 +121,7 @@
 
     /// What holds whoever has the token, for the hand that follows this one.
     pub fn follow(&mut self, earlier: &Hand) {
+        self.failed_jobs.clone_from(&earlier.failed_jobs);
         self.newest_beat = earlier.newest_beat;
         self.session = earlier.session;
         self.deaf_since = earlier.deaf_since;
@@ -1196,6 +1197,7 @@
     let hands = node.hands.borrow();
     let now = Instant::now();
     let quiet = node.settings.lease().mul_f64(0.6);
+    let suspects = crate::fleet::suspects(node, &view, &hands);
     let mut parts: BTreeMap<String, (Part, bool)> = BTreeMap::new();
     for (id, hand) in hands.iter() {
         let Some(machine) = view.machines.get(id) else {
@@ -1211,6 +1213,7 @@
         let unshown = hand.report.is_none()
             && now.saturating_duration_since(hand.claimed) > node.settings.report() * 2;
         let quiet = unshown || now.saturating_duration_since(hand.heard) > quiet;
+        let quiet = quiet || suspects.contains(id);
         let slot = if m.life != Life::Active || quiet || hand.deaf_since.is_some() {
             None
         } else {
--- a/src/model.rs
+++ b/src/model.rs
@@ -360,9 +360,27 @@
     /// cleared would go to whoever looks next.
     #[serde(rename = "c", default, skip_serializing_if = "is_false")]
     pub cleared: bool,
-    /// Failures in a row, for the back-off.
+    /// Attempts that failed since the last success, for the back-off: however
+    /// many tasks of one attempt fail, it is one.
     #[serde(rename = "e", default, skip_serializing_if = "is_zero")]
     pub errors: u32,
+    /// The latest attempt that counts among them.
+    #[serde(rename = "ea", default, skip_serializing_if = "is_zero_u64")]
+    pub failed_attempt: u64,
+    /// The machines that it failed on since then, the latest last.
+    #[serde(rename = "em", default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_on: Vec<String>,
+}
+
+/// A job that has failed on so many machines in a row, and has succeeded on
+/// none since, is taken to have a mistake of its own.
+pub const DOUBT: usize = 3;
+
+/// How many of those machines its record names.
+const FAILED_ON: usize = DOUBT + 1;
+
+fn is_zero_u64(n: &u64) -> bool {
+    *n == 0
 }
 
 fn is_zero(n: &u32) -> bool {
@@ -382,6 +400,8 @@
             runs: Vec::new(),
             cleared: false,
             errors: 0,
+            failed_attempt: 0,
+            failed_on: Vec::new(),
         }
     }
 
@@ -389,6 +409,30 @@
         self.fin == Final::Open
     }
 
+    /// Whether the job rather than the machines is to blame for its failures.
+    pub fn is_doubtful(&self) -> bool {
+        self.failed_on.len() >= DOUBT
+    }
+
+    fn note_failure(&mut self, machine: &str, attempt: u64) {
+        if attempt > self.failed_attempt {
+            self.failed_attempt = attempt;
+            self.errors = self.errors.saturating_add(1).min(1000);
+        }
+        self.failed_on.retain(|m| m != machine);
+        if self.failed_on.len() == FAILED_ON {
+            self.failed_on.remove(0);
+        }
+        self.failed_on.push(machine.to_string());
+    }
+
+    /// It has succeeded somewhere: what failed before was the machines' fault.
+    pub fn note_success(&mut self) {
+        self.errors = 0;
+        self.failed_attempt = 0;
+        self.failed_on.clear();
+    }
+
     pub fn booked(&self) -> usize {
         self.runs.iter().map(|r| r.tasks.len()).sum()
     }
@@ -474,7 +518,7 @@
             match (outcome, gang) {
                 // A gang completes together: one done task proves all.
                 (Outcome::Done, true) => self.fin = Final::Done,
-                (Outcome::Done, false) => self.errors = 0,
+                (Outcome::Done, false) => self.note_success(),
                 (_, true) => {
                     // One member lost breaks the attempt: all must go.
                     for run in &mut self.runs {
@@ -485,7 +529,7 @@
                 (_, false) => self.retry.insert(task),
             }
             if outcome == Outcome::Failed {
-                self.errors = self.errors.saturating_add(1).min(1000);
+                self.note_failure(machine, attempt);
             }
             if !gang && self.next == self.tasks && self.retry.is_empty() && self.runs.is_empty() {
                 self.fin = Final::Done;
@@ -560,6 +604,7 @@
         if !self.is_open() && self.runs.is_empty() {
             self.spec = None;
             self.retry = Ranges::default();
+            self.note_success();
         }
     }
 
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -38,6 +38,9 @@
     pub waiting: usize,
     pub running: usize,
     pub failures: u32,
+    /// The machines that it failed on since it last succeeded anywhere.
+    #[serde(default)]
+    pub failed_on: Vec<String>,
     /// How long this controller has known it, in seconds.
     pub known_s: Option<f64>,
     pub late: bool,
@@ -100,6 +103,7 @@
         Wait::TeamLimit => "its team is at its limit",
         Wait::OldAttempt => "its earlier attempt is not surely gone yet",
         Wait::BackOff => "its tasks fail; it is tried again later",
+        Wait::Fails => "its tasks fail on every machine; one is tried now and then",
         Wait::Spread => "the zones that have room hold their share of it",
         Wait::RecordFull => "as many of its tasks run as one record can hold",
         Wait::Queue => "other work goes first",
@@ -159,6 +163,7 @@
         waiting: job.waiting(),
         running: job.booked(),
         failures: job.errors,
+        failed_on: job.failed_on.clone(),
         known_s: open.then_some(age),
         late: job
             .spec
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -88,6 +88,30 @@
     crowded: bool,
 }
 
+impl Rounds {
+    /// How long a job's record has been as it is.
+    fn unchanged(&self, id: &str, now: Instant) -> Duration {
+        let seen = self.seen.get(id);
+        seen.map_or(Duration::ZERO, |s| now.saturating_duration_since(s.1))
+    }
+
+    /// Why a job that has failed waits, if it does: until its back-off is over;
+    /// and one that fails wherever it runs until what is tried has ended, or,
+    /// of a service, has run for a lease.
+    fn holds(&self, node: &Node, id: &str, job: &Job, now: Instant) -> Option<Wait> {
+        let why = match job.is_doubtful() {
+            true => Wait::Fails,
+            false => Wait::BackOff,
+        };
+        if self.held.get(id).is_some_and(|h| h.1 > now) {
+            return Some(why);
+        }
+        let service = job.spec.as_ref().is_some_and(|s| s.kind == Kind::Service);
+        let proven = service && self.unchanged(id, now) > node.settings.lease();
+        (job.is_doubtful() && job.booked() > 0 && !proven).then_some(why)
+    }
+}
+
 /// Rounds of decisions: what has ended is recorded and what waits is placed,
 /// in one commit a round. A round waits for the budget first and decides then,
 /// on what has gathered: its commits widen with the load.
@@ -203,20 +227,18 @@
             continue;
         }
         let errors = entry.value.errors;
-        if errors > 0 {
-            let held = rounds.held.entry(id.clone()).or_insert((0, now));
-            if held.0 < errors {
-                let base = node.settings.report();
-                *held = (errors, now + back_off(errors, base));
-            }
-            if held.1 > now {
-                note(node, id, Wait::BackOff, now);
-                continue;
-            }
+        // Fewer than before: it has succeeded, and failed again since.
+        if rounds.held.get(id).is_none_or(|h| h.0 != errors) {
+            let until = now + back_off(errors, node.settings.report());
+            rounds.held.insert(id.clone(), (errors, until));
+        }
+        if let Some(why) = rounds.holds(node, id, &entry.value, now) {
+            note(node, id, why, now);
+            continue;
         }
         let team = entry.value.spec.as_ref().map_or("", |s| &s.team);
         let preferred = placer(&node.settings, id, team, alive.iter().copied());
-        if preferred == Some(node.name()) || now.saturating_duration_since(seen.1) > step_in {
+        if preferred == Some(node.name()) || rounds.unchanged(id, now) > step_in {
             ids.push(id.clone());
         }
     }
@@ -341,12 +363,15 @@
     // elsewhere keeps its room here, too.
     let queue = admission::queue(&view, &plan, settings, &node.ages.borrow(), now);
     for id in queue {
-        if rounds.held.get(id).is_some_and(|h| h.1 > now) {
-            continue;
-        }
         let Some(job) = draft.job(id).filter(|j| j.waiting() > 0) else {
             continue;
         };
+        // What failed just now, in this very commit, waits for the next.
+        let before = view.jobs.get(id).map_or(0, |e| e.value.errors);
+        if job.errors > before || rounds.holds(node, id, job, now).is_some() {
+            continue;
+        }
+        let doubtful = job.is_doubtful();
         let Some(spec) = job.spec.clone() else {
             continue;
         };
@@ -362,8 +387,21 @@
         if own {
             hints.touched = touched.clone();
         }
+        hints.lenient = rounds.unchanged(id, now) > settings.lease();
         let places = match search.place(node, &hints, &plan, id, job, &spec) {
-            Ok(places) => places,
+            // One task shows whether it fails still; a gang's, all of them; and
+            // a service whose first has run for a while is in order.
+            Ok(mut places) => {
+                if doubtful && !spec.is_gang() && job.booked() == 0 {
+                    places.truncate(1);
+                }
+                places
+            }
+            // It stops nobody and has no room held for it.
+            Err(_) if doubtful => {
+                note(node, id, Wait::Fails, now);
+                continue;
+            }
             Err(why) => {
                 note(node, id, why, now);
                 let no_room = matches!(why, Wait::NoRoom | Wait::NoZone | Wait::Spread);
@@ -411,7 +449,7 @@
         );
         if draft.job(id).is_none_or(|j| j.waiting() == 0) {
             node.reasons.borrow_mut().remove(id);
-        } else if booked == places.len() {
+        } else if booked == places.len() && draft.job(id).is_some_and(|j| !j.is_doubtful()) {
             blocked.push(id.to_string());
             note(node, id, Wait::NoRoom, now);
         }
@@ -521,7 +559,7 @@
         spec: &Spec,
     ) -> Result<Vec<Place>, Wait> {
         let tasks = if spec.is_gang() { job.waiting() } else { 1 };
-        let shape = shape(job, spec);
+        let shape = shape(job, spec).filter(|_| job.failed_on.is_empty());
         if let Some((least, why)) = shape.and_then(|s| self.failed.get(&s))
             && tasks >= *least
         {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -9,6 +9,7 @@
 use shelfhoist::admission::{self, Care, Hints, Plan, Wait};
 use shelfhoist::api::{Refusal, check_submission, read_submission};
 use shelfhoist::draft::{Draft, Released};
+use shelfhoist::fleet::{Blame, blame};
 use shelfhoist::http::{CallError, Client, Parsed, Response, ServerLimits, parse_request, serve};
 use shelfhoist::machines::{EndKey, Hand, Proof, reconcile};
 use shelfhoist::model::*;
@@ -445,6 +446,50 @@
     assert_eq!(gang.fin, Final::Done, "final states never change");
 }
 
+/// A job that fails on several machines is to blame itself, until it succeeds
+/// anywhere; a machine is, where what failed on it succeeds elsewhere.
+#[test]
+fn failures_are_blamed_on_the_job_or_on_the_machine() {
+    use Outcome::{Done, Failed, Lost};
+    type Ends = &'static [(&'static str, u64, Outcome)];
+    let cases: [(Ends, u32, Blame); 8] = [
+        (&[("m", 1, Failed)], 1, Blame::Unknown),
+        // However many tasks of an attempt fail, the back-off counts one.
+        (&[("m", 1, Failed), ("m", 1, Failed)], 1, Blame::Unknown),
+        (&[("m", 1, Failed), ("n", 2, Failed)], 2, Blame::Unknown),
+        (
+            &[("m", 1, Failed), ("n", 1, Failed), ("o", 1, Failed)],
+            1,
+            Blame::Job,
+        ),
+        (&[("m", 1, Failed), ("n", 1, Done)], 0, Blame::Machine),
+        (&[("m", 1, Failed), ("n", 1, Lost)], 1, Blame::Unknown),
+        (&[("n", 1, Done), ("m", 2, Failed)], 1, Blame::Unknown),
+        (
+            &[
+                ("m", 1, Failed),
+                ("n", 1, Failed),
+                ("o", 1, Failed),
+                ("p", 2, Done),
+            ],
+            0,
+            Blame::Machine,
+        ),
+    ];
+    for (n, (ends, errors, whose)) in cases.into_iter().enumerate() {
+        let mut job = Job::new(spec(Kind::Array, 9, 1.0), 1);
+        for (machine, attempt, outcome) in ends {
+            let task = job.take_fresh().expect("waiting");
+            job.book(machine, "a", *attempt, task);
+            assert!(job.release(machine, *attempt, task, *outcome));
+        }
+        assert_eq!((job.errors, blame(&job, "m")), (errors, whose), "case {n}");
+        let mut cancelled = job.clone();
+        cancelled.cancel();
+        assert_eq!(blame(&cancelled, "m"), Blame::Job, "case {n}");
+    }
+}
+
 /// A machine `m` under our token 5 with one booking of job-1/0, attempt 1.
 fn held(kind: Kind, edit: impl FnOnce(&mut Job)) -> View {
     let mut view = view_with_types();
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -264,6 +264,52 @@
     });
 }
 
+/// Jobs with a mistake fail on every machine. They blame none, are tried at a
+/// bounded pace, leave others their room, are told of plainly, and a cancel ends
+/// them at once.
+#[test]
+fn a_job_with_a_mistake_blames_no_machine() {
+    in_world(|| async {
+        let w = World::new(23).await;
+        let service = w.submit(job(1, "daemon", 3, 0.0)).await;
+        w.until(&service, "running", 100).await;
+        let kinds = ["batch", "gang", "daemon", "batch", "gang", "batch"];
+        for (n, kind) in (10..).zip(kinds) {
+            let mut one = job(n, kind, if kind == "batch" { 6 } else { 2 }, 3.0);
+            one["blueprint"] = json!("mistake");
+            one["vcpus"] = json!(0.5);
+            w.submit(one).await;
+        }
+        sleep(Duration::from_secs(60)).await;
+        let machines: Vec<String> = w.workers.borrow().keys().cloned().collect();
+        let starts = w.starts.get();
+        sleep(Duration::from_secs(60)).await;
+        // Six jobs, a try each in a minute once they are known, a gang's of two.
+        assert!(w.starts.get() - starts <= 16, "{}", w.starts.get() - starts);
+        assert!(w.starts.get() > starts, "never tried again");
+        let there: Vec<String> = w.workers.borrow().keys().cloned().collect();
+        assert!(
+            machines.iter().all(|m| there.contains(m)),
+            "healthy ones went"
+        );
+        assert_eq!((w.running(&service), w.lapsed()), (3, 0));
+        for n in 10..16 {
+            let id = format!("job-{n:06}");
+            let (status, story) = w.ask(0, "GET", &format!("/ops/job/{id}"), None).await;
+            assert_eq!(status, 200);
+            assert!(!story["failed_on"].as_array().expect("machines").is_empty());
+            assert_eq!(w.stage(1, &id).await.as_deref(), Some("queued"), "{id}");
+        }
+        let good = w.submit(job(30, "gang", 2, 2.0)).await;
+        w.until(&good, "done", 40).await;
+        for n in 10..16 {
+            let id = format!("job-{n:06}");
+            assert_eq!(w.withdraw(1, &id).await.as_deref(), Some("aborted"));
+        }
+        w.assert_kept();
+    });
+}
+
 /// A machine whose reports arrive while answers and orders do not: its work
 /// starts elsewhere once its end is proven, it gets no new work and goes back.
 #[test]
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -329,7 +329,8 @@
                         continue;
                     }
                     let run = world.run_time(&o.task);
-                    let why = self.sick.get().then_some(Why::Error);
+                    let fails = self.sick.get() || world.is_mistaken(&o.task);
+                    let why = fails.then_some(Why::Error);
                     let ends = run.map(|r| Instant::now() + r);
                     let attempt = o.attempt;
                     tasks.insert(o.task.clone(), Task { attempt, ends, why });
@@ -520,6 +521,13 @@
         (job["cut"] != "daemon").then(|| Duration::from_secs_f64(run))
     }
 
+    /// Jobs of this image fail on every machine.
+    fn is_mistaken(&self, task: &str) -> bool {
+        let jobs = self.jobs.borrow();
+        let job = jobs.get(task.split('/').next().unwrap_or(""));
+        job.is_some_and(|j| j["blueprint"] == "mistake")
+    }
+
     fn started(&self, task: &str, machine: &str) {
         self.starts.set(self.starts.get() + 1);
         for (name, (w, _)) in self.workers.borrow().iter() {
