--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -17,7 +17,7 @@
 use crate::http::Response;
 use crate::machines::{EndKey, Hand};
 use crate::model::{DOUBT, Final, Hire, Job, Life, Machine, Part, Renter, Room, Spec, Types};
-use crate::node::{Node, guard, put};
+use crate::node::{Node, guard, put, skipped};
 use crate::policy::MachineFacts;
 use crate::store::{Bucket, Class, StoreError};
 use crate::view::{
@@ -131,6 +131,22 @@
         deaf.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Takes a gap in which this process did not run out of every span.
+    pub fn skip(&mut self, gap: Duration, now: Instant) {
+        let spans = [
+            &mut self.empty_since,
+            &mut self.first_seen,
+            &mut self.listed,
+        ];
+        for at in spans.into_iter().flat_map(|s| s.values_mut()) {
+            *at = skipped(*at, gap, now);
+        }
+        for seen in self.unshown.values_mut() {
+            seen.first = skipped(seen.first, gap, now);
+            seen.last = skipped(seen.last, gap, now);
+        }
+    }
+
     /// Whether a listed machine without a record has been one for so long.
     fn unheard(&mut self, id: &str, limit: Duration) -> bool {
         let first = self
@@ -172,6 +188,18 @@
     }
 
     async fn cloud(&self, method: &str, path: &str, body: Option<Vec<u8>>) -> Option<Response> {
+        self.cloud_if(method, path, body, || true).await
+    }
+
+    /// The same if it is still wanted when its turn has come, by one who still
+    /// rents: the limit, or this process standing still, may hold it up.
+    async fn cloud_if(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<Vec<u8>>,
+        wanted: impl Fn() -> bool,
+    ) -> Option<Response> {
         let pause = self.fleet.borrow().cloud_pause;
         if pause.is_some_and(|t| t > Instant::now()) {
             return None;
@@ -192,6 +220,9 @@
                 Err(wait) => sleep(wait).await,
             }
         }
+        if !wanted() || !self.is_renter() || !self.has_state() {
+            return None;
+        }
         let limit = self.settings.lease() / 3;
         let answer = self
             .client
@@ -364,7 +395,7 @@
         }
         if node.has_state() {
             drain_recalled(&node).await;
-            send_away(&node, judge_own(&node)).await;
+            send_away(&node, judge_own).await;
         }
         if !node.is_renter() || !node.has_state() {
             continue;
@@ -551,12 +582,31 @@
     );
 }
 
-async fn send_away(node: &Node, leaving: Vec<(String, Life, &'static str)>) {
+type Leaving = Vec<(String, Life, &'static str)>;
+
+/// Judges and carries it out. What is found is judged again once the budget is
+/// there: it may have waited, or this process may have stood still, and who was
+/// silent may have been heard meanwhile.
+async fn send_away(node: &Node, judge: fn(&Node) -> Leaving) {
+    let first = judge(node);
+    if first.is_empty() {
+        return;
+    }
+    node.store.ready(Class::Life, 1).await;
+    if !node.has_state() {
+        return;
+    }
+    let leaving = judge(node);
     let (known, new): (Vec<_>, Vec<_>) = {
         let view = node.view.borrow();
         let known = |id: &str| view.machines.contains_key(id);
         leaving.into_iter().partition(|(id, _, _)| known(id))
     };
+    let lives: Vec<(String, Life)> = known.iter().map(|l| (l.0.clone(), l.1)).collect();
+    let changed = set_lives(node, &lives).await;
+    for (id, life, why) in known.iter().filter(|l| changed.contains(&l.0)) {
+        tracing::info!(machine = id, ?life, why, "leaves service");
+    }
     let lost: Vec<(String, Machine)> = {
         let view = node.view.borrow();
         new.iter()
@@ -564,11 +614,6 @@
             .collect()
     };
     take_up(node, &lost).await;
-    let lives: Vec<(String, Life)> = known.iter().map(|l| (l.0.clone(), l.1)).collect();
-    let changed = set_lives(node, &lives).await;
-    for (id, life, why) in known.iter().filter(|l| changed.contains(&l.0)) {
-        tracing::info!(machine = id, ?life, why, "leaves service");
-    }
 }
 
 /// One pass over the fleet.
@@ -577,7 +622,7 @@
     finish_returns(node).await;
     settle_records(node).await;
     read_list(node).await;
-    send_away(node, judge(node)).await;
+    send_away(node, judge).await;
     consolidate(node).await;
 }
 
@@ -621,6 +666,11 @@
         guards.push(guard(hire_key(&id), 0));
         writes.push(put(hire_key(&id), &hire));
     }
+    // Who has stood still, and rents no more, finds out by this.
+    match node.view.borrow().fleet.as_ref() {
+        Some(mine) => guards.push(guard(FLEET_KEY.to_string(), mine.version)),
+        None => return,
+    }
     match node.commit(Class::Lease, guards, writes).await {
         Ok(_) => resolve_hires(node),
         Err(error) => tracing::debug!(%error, "rental not recorded"),
@@ -779,7 +829,11 @@
     let Ok(body) = serde_json::to_vec(&request) else {
         return;
     };
-    let Some(r) = node.cloud("POST", "/rentals", Some(body)).await else {
+    let there = || {
+        let view = node.view.borrow();
+        view.hires.get(id).is_some_and(|e| e.version == version)
+    };
+    let Some(r) = node.cloud_if("POST", "/rentals", Some(body), there).await else {
         return;
     };
     let mut short = true;
@@ -1125,8 +1179,8 @@
 /// Machines held by this controller that should leave, and why. Only the
 /// holder knows when a machine was last heard: what another controller has
 /// not told is no sign of silence.
-fn judge_own(node: &Node) -> Vec<(String, Life, &'static str)> {
-    let now = Instant::now();
+fn judge_own(node: &Node) -> Leaving {
+    let now = node.pulse();
     let view = node.view.borrow();
     let hands = node.hands.borrow();
     let limit = node.settings.lease();
@@ -1303,8 +1357,8 @@
 }
 
 /// Machines that the renter sends away, and why.
-fn judge(node: &Node) -> Vec<(String, Life, &'static str)> {
-    let now = Instant::now();
+fn judge(node: &Node) -> Leaving {
+    let now = node.pulse();
     let view = node.view.borrow();
     let mut fleet = node.fleet.borrow_mut();
     // A zone that is cut off has all its machines held by controllers that are
--- a/src/http.rs
+++ b/src/http.rs
@@ -415,6 +415,20 @@
         limit: Duration,
     ) -> Result<Response, CallError> {
         let deadline = Instant::now() + limit;
+        self.call_until(addr, method, path, body, deadline).await
+    }
+
+    /// The same for a call that was decided on earlier. What has not been sent
+    /// by the deadline is not sent any more: a process that stood still would
+    /// else go on with what it meant to do before.
+    pub async fn call_until(
+        &self,
+        addr: SocketAddrV4,
+        method: &str,
+        path: &str,
+        body: Option<Vec<u8>>,
+        deadline: Instant,
+    ) -> Result<Response, CallError> {
         let reused = self.idle.borrow_mut().get_mut(&addr).and_then(|v| v.pop());
         let mut connection = match reused {
             Some(idle) if idle.since.elapsed() < self.keep => idle.connection,
@@ -431,6 +445,10 @@
         )
         .into_bytes();
         out.extend_from_slice(&body);
+        // A timeout alone looks at the clock only after its future has run.
+        if Instant::now() >= deadline {
+            return Err(CallError::NotSent("too late to send".into()));
+        }
         let exchange = async {
             connection.stream.write_all(&out).await?;
             read_response(&mut connection.stream, self.answer).await
--- a/src/machines.rs
+++ b/src/machines.rs
@@ -14,7 +14,7 @@
 use crate::draft::{COMMIT_BYTES, Groups};
 use crate::http::{CallError, Response};
 use crate::model::{Job, Life, Machine, Outcome, Part, Room, Slot, Spec, split_task};
-use crate::node::{Node, guard, put};
+use crate::node::{Node, guard, put, skipped};
 use crate::settings::CLOCK_DRIFT;
 use crate::store::{Class, StoreError};
 use crate::view::{View, part_id, part_key};
@@ -127,6 +127,17 @@
         self.deaf_since = earlier.deaf_since;
     }
 
+    /// Takes a gap in which this process did not run out of every span of
+    /// silence; the proof by silence only comes later by it. The last answer was
+    /// when it was: that a lease ran out in the gap is no sign of deafness.
+    pub fn skip(&mut self, gap: Duration, now: Instant) {
+        for at in [&mut self.heard, &mut self.claimed] {
+            *at = skipped(*at, gap, now);
+        }
+        self.deaf_since = self.deaf_since.map(|t| skipped(t, gap, now));
+        self.session = self.session.map(|(s, t)| (s, skipped(t, gap, now)));
+    }
+
     /// Notes that a beat has come; false for a late copy, which tells nothing:
     /// neither that the machine is alive, nor what runs there.
     pub fn hear(&mut self, report: &Report, lease: Duration, now: Instant) -> bool {
@@ -568,12 +579,12 @@
 
     /// `POST /agent/beat`.
     pub async fn beat(&self, report: Report) -> Response {
+        let now = self.pulse();
         // Safety 4, the horizon.
         if !self.may_answer_beats() {
             return Response::unavailable("cut off from the state service", 1);
         }
         let id = report.machine.clone();
-        let now = Instant::now();
         if let Some(home) = self.nearer(&report, now) {
             let report_to = Some(home);
             return Response::json(421, &Redirect { report_to });
@@ -901,7 +912,7 @@
     let mut swept = Instant::now();
     loop {
         let _ = timeout(tick, node.poke.notified()).await;
-        let now = Instant::now();
+        let now = node.pulse();
         let changed = std::mem::take(&mut node.view.borrow_mut().changes.machines);
         let sweep = now.saturating_duration_since(swept) >= tick;
         if sweep {
@@ -964,12 +975,14 @@
                 orders: plan.orders,
             };
             drop(hands);
-            tokio::task::spawn_local(send_orders(node.clone(), id, addr, body));
+            tokio::task::spawn_local(send_orders(node.clone(), id, addr, body, now));
         }
     }
 }
 
-async fn send_orders(node: Rc<Node>, id: String, addr: String, body: Orders) {
+/// Sends what was decided at `decided`: if this process stands still before it
+/// is sent, it is sent no more, as work may have been cancelled or moved since.
+async fn send_orders(node: Rc<Node>, id: String, addr: String, body: Orders, decided: Instant) {
     let launches = body.orders.iter().any(|o| o.verb == Verb::Start);
     let token = body.token;
     let result = match (addr.parse(), serde_json::to_vec(&body)) {
@@ -977,7 +990,7 @@
             // As long as a worker waits for its own reports.
             let limit = Duration::from_secs(4).min(node.settings.lease() / 4);
             node.workers
-                .call(addr, "POST", "/orders", Some(bytes), limit)
+                .call_until(addr, "POST", "/orders", Some(bytes), decided + limit)
                 .await
         }
         _ => Err(CallError::NotSent("bad address".into())),
@@ -1057,7 +1070,7 @@
 
 /// The bookings on a machine whose lease is surely over are released.
 pub fn release_silent(node: &Node) {
-    let now = Instant::now();
+    let now = node.pulse();
     let mut lost = Vec::new();
     {
         let mut hands = node.hands.borrow_mut();
@@ -1193,9 +1206,9 @@
 /// Parts of the zones' records that differ from what this controller knows of
 /// the machines that it holds; as many as one commit takes.
 fn room_changes(node: &Node, recent: &HashMap<String, Instant>) -> Vec<RoomChange> {
+    let now = node.pulse();
     let view = node.view.borrow();
     let hands = node.hands.borrow();
-    let now = Instant::now();
     let quiet = node.settings.lease().mul_f64(0.6);
     let suspects = crate::fleet::suspects(node, &view, &hands);
     let mut parts: BTreeMap<String, (Part, bool)> = BTreeMap::new();
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -231,7 +231,7 @@
 }
 
 fn word(node: &Node) -> Gossip {
-    let now = Instant::now();
+    let now = node.pulse();
     let limit = node.settings.report() * 2;
     let hands = node.hands.borrow();
     let silent = |hand: &&crate::machines::Hand| now.saturating_duration_since(hand.heard) > limit;
--- a/src/node.rs
+++ b/src/node.rs
@@ -35,6 +35,8 @@
     /// Tells this run of the process from the earlier ones of the same name.
     pub incarnation: u64,
     pub started: Instant,
+    /// When this process last ran, as far as it has noticed.
+    ran: Cell<Instant>,
     pub view: RefCell<View>,
     /// The revision that the view has reached, for those who wait on it.
     pub reached: watch::Sender<u64>,
@@ -102,6 +104,7 @@
             store,
             incarnation: rng.random_range(1..u64::from(u32::MAX)),
             started: now,
+            ran: Cell::new(now),
             view: RefCell::default(),
             reached: watch::Sender::new(0),
             stir: Notify::new(),
@@ -133,6 +136,32 @@
         &self.settings.node
     }
 
+    /// The time, once what this process did not see of it has been taken out of
+    /// all spans of silence. A controller that stood still, for whatever cause,
+    /// finds its timers due and its workers' reports unread when it goes on: to
+    /// count that as their silence would end the work of hundreds of healthy
+    /// machines. Whoever concludes anything from silence begins with this.
+    pub fn pulse(&self) -> Instant {
+        let now = Instant::now();
+        let gap = now.saturating_duration_since(self.ran.replace(now));
+        if gap > self.settings.lease() / 8 {
+            tracing::info!(gap_s = gap.as_secs_f64(), "stood still");
+            for hand in self.hands.borrow_mut().values_mut() {
+                hand.skip(gap, now);
+            }
+            self.fleet.borrow_mut().skip(gap, now);
+        }
+        now
+    }
+
+    /// Notices soon when this process has stood still.
+    pub async fn keep_pulse(self: Rc<Self>) {
+        loop {
+            self.pulse();
+            sleep(self.settings.lease() / 32).await;
+        }
+    }
+
     /// The span in which this controller may make one request of its share.
     pub fn request_gap(&self) -> Duration {
         let d = &self.settings.deployment;
@@ -338,6 +367,7 @@
         let users = self.net.listen(self.settings.serve_on).await?;
         let mesh = self.net.listen(self.settings.mesh_addr).await?;
         let tasks = [
+            tokio::task::spawn_local(self.clone().keep_pulse()),
             tokio::task::spawn_local(self.clone().keep_view()),
             tokio::task::spawn_local(self.clone().keep_horizon()),
             tokio::task::spawn_local(crate::api::serve(self.clone(), users)),
@@ -378,6 +408,11 @@
     Guard { key, version }
 }
 
+/// An earlier moment as it counts after a gap: none of the gap has passed since.
+pub fn skipped(at: Instant, gap: Duration, now: Instant) -> Instant {
+    at.checked_add(gap).map_or(now, |t| t.min(now))
+}
+
 /// A write of `value` under `key`.
 pub fn put<T: serde::Serialize>(key: String, value: &T) -> Write {
     Write::Put {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -14,7 +14,7 @@
 use crate::admission::{self, Care, Hints, Place, Plan, Victim, Wait};
 use crate::draft::{Draft, Released};
 use crate::machines::{self, EndKey};
-use crate::model::{Job, Spec};
+use crate::model::{Job, Room, Spec};
 use crate::node::Node;
 use crate::settings::{Settings, TeamTerms};
 use crate::store::{Class, StoreError};
@@ -337,6 +337,18 @@
         false => settings.deployment.state.txn_ops,
     };
     let mut plan = Plan::of(&view);
+    // A machine that hears nothing may stand in its part's record a while yet:
+    // what is placed there ends at once, and would be placed there again.
+    for (id, _) in node
+        .hands
+        .borrow()
+        .iter()
+        .filter(|(_, h)| h.deaf_since.is_some())
+    {
+        if let Some(at) = plan.find(&view, id) {
+            plan.spots[at].free = Room::default();
+        }
+    }
     let mut draft = Draft::new(&view, ops);
     // Ends go first, as they make room; but where gangs or services had their
     // places and the last commit no room for them, they go before the ends.
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use stand_ins::{CONTROLLERS, Trouble, World, controller, in_world, job};
+use stand_ins::{CONTROLLERS, Shape, Trouble, World, controller, in_world, job};
 use tokio::time::sleep;
 
 #[test]
@@ -488,6 +488,90 @@
     });
 }
 
+/// Controllers that stand still for two seconds or for more than a lease, one,
+/// most or all of them, and go on: no healthy machine goes back, nothing that
+/// was decided before is done after, and what could run on still runs.
+#[test]
+fn who_stood_still_concludes_nothing_from_it() {
+    let all: [usize; 3] = [0, 1, 2];
+    let cases: [(&[usize], f64, u64); 5] = [
+        (&all[..1], 2.0, 0),
+        (&all[..1], 13.0, 0),
+        // A worker that tries both of them in turn is back too late.
+        (&all[..2], 25.0, u64::MAX),
+        // Inside a lease, all at once; and for longer, so that all work ends.
+        (&all, 5.0, 0),
+        (&all, 35.0, u64::MAX),
+    ];
+    for (n, (who, seconds, lapses)) in cases.into_iter().enumerate() {
+        in_world(|| async move {
+            let w = World::new(40 + n as u64).await;
+            let service = w.submit(job(1, "daemon", 4, 0.0)).await;
+            let idle = w.submit(job(2, "batch", 4, 2.0)).await;
+            w.until(&service, "running", 100).await;
+            w.until(&idle, "done", 100).await;
+            let gang = w.submit(job(3, "gang", 2, 60.0)).await;
+            w.until(&gang, "running", 100).await;
+            sleep(Duration::from_secs(5)).await;
+            let booked: Vec<String> = [&service, &gang].map(|j| w.machine_of(j)).into();
+            let again = w.submit(job(4, "batch", 8, 4.0)).await;
+            who.iter().for_each(|i| w.freeze(*i, true));
+            sleep(Duration::from_secs_f64(seconds)).await;
+            // Those who go on are asked for a cancel meanwhile.
+            if let Some(i) = (0..CONTROLLERS).find(|i| !who.contains(i)) {
+                assert_eq!(w.withdraw(i, &again).await.as_deref(), Some("aborted"));
+            }
+            let starts = w.starts.get();
+            who.iter().for_each(|i| w.freeze(*i, false));
+            sleep(Duration::from_secs(3)).await;
+            if who.len() < CONTROLLERS {
+                assert_eq!(w.running(&again), 0, "case {n}: cancelled, and runs");
+                assert!(w.starts.get() - starts <= 2, "case {n}: launched late");
+            }
+            // And once more while it recovers.
+            w.freeze(who[0], true);
+            sleep(Duration::from_secs(5)).await;
+            w.freeze(who[0], false);
+            sleep(Duration::from_secs(40)).await;
+            for name in booked.iter().filter(|_| lapses == 0) {
+                let there = w.workers.borrow().contains_key(name);
+                assert!(there, "case {n}: {name} was sent back");
+            }
+            assert!(w.lapsed() <= lapses, "case {n}: leases have run out");
+            assert_eq!(w.running(&service), 4, "case {n}");
+            w.until(&gang, "done", 200).await;
+            w.assert_kept();
+        });
+    }
+}
+
+/// The time in which it stood still is no silence of its workers: with nobody
+/// else to go to they report again within seconds, and stay.
+#[test]
+fn a_lone_controller_that_stood_still_keeps_its_machines() {
+    in_world(|| async {
+        let shape = Shape {
+            controllers: 1,
+            locations: vec!["a"],
+            zones: vec!["a"],
+            ..Shape::default()
+        };
+        let w = World::of(50, shape).await;
+        let service = w.submit(job(1, "daemon", 4, 0.0)).await;
+        w.until(&service, "running", 100).await;
+        sleep(Duration::from_secs(20)).await;
+        let before: Vec<String> = w.workers.borrow().keys().cloned().collect();
+        w.freeze(0, true);
+        sleep(Duration::from_secs(26)).await;
+        w.freeze(0, false);
+        sleep(Duration::from_secs(20)).await;
+        let after: Vec<String> = w.workers.borrow().keys().cloned().collect();
+        assert_eq!(before, after);
+        assert_eq!(w.running(&service), 4);
+        w.assert_kept();
+    });
+}
+
 /// A renter that is back at once finds its own state lease still standing.
 #[test]
 fn a_renter_that_is_back_at_once_rents_on() {
