--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -46,6 +46,96 @@
     }
 }
 
+/// What boots have taken of late, by type and zone, and what boots now.
+#[derive(Debug, Default)]
+pub struct Boots {
+    /// The mean of those seen, the latest counting most, in seconds.
+    learned: HashMap<(String, String), f64>,
+    /// Since when a machine boots, and by which offer.
+    since: HashMap<String, (Instant, Offer)>,
+    /// When a machine of an offer last came up.
+    up: HashMap<Offer, Instant>,
+    /// Machines that are late.
+    late: HashSet<String>,
+    /// Offers of which no machine comes up: how often in a row one was late or
+    /// given up, and until when they are left alone.
+    failed: HashMap<Offer, (Instant, u32)>,
+}
+
+impl Boots {
+    /// Takes in what boots now and which of the others has come up.
+    pub fn see<'a>(
+        &mut self,
+        booting: impl Iterator<Item = (&'a str, &'a str, &'a str, bool)>,
+        is_up: impl Fn(&str) -> bool,
+        now: Instant,
+    ) {
+        let mut still: HashSet<&str> = HashSet::new();
+        for (id, kind, zone, spot) in booting {
+            still.insert(id);
+            if !self.since.contains_key(id) {
+                let offer = (kind.to_string(), zone.to_string(), spot);
+                self.since.insert(id.to_string(), (now, offer));
+            }
+        }
+        let (learned, failed, up) = (&mut self.learned, &mut self.failed, &mut self.up);
+        self.late.retain(|id| still.contains(id.as_str()));
+        self.since.retain(|id, (since, offer)| {
+            if still.contains(id.as_str()) {
+                return true;
+            }
+            if is_up(id) {
+                up.insert(offer.clone(), now);
+                let took = now.saturating_duration_since(*since).as_secs_f64();
+                let mean = learned.entry((offer.0.clone(), offer.1.clone()));
+                mean.and_modify(|m| *m += (took - *m) / 4.0).or_insert(took);
+                failed.remove(offer);
+            }
+            false
+        });
+    }
+
+    /// After how many seconds a machine of this type is late: what is usual by
+    /// the cloud's word, more where boots have been seen to take longer; never
+    /// so much that one waits for it to the end.
+    pub fn late_s(&self, kind: &MachineType, zone: &str, limit_s: f64) -> f64 {
+        let usual = kind.boot_s * BOOT_USUAL;
+        let key = (kind.name.clone(), zone.to_string());
+        let seen = self.learned.get(&key).copied().unwrap_or(0.0);
+        (seen * BOOT_USUAL)
+            .max(usual)
+            .min(limit_s / 2.0)
+            .max(usual.min(limit_s))
+    }
+
+    /// A machine that boots is late, or is given up. Where no other of its offer
+    /// has come up since it was rented, the next is tried later, and later each
+    /// time; a few of many may fail at any time.
+    pub fn fails(&mut self, id: &str, pause: Duration, now: Instant) {
+        let Some((since, offer)) = self.since.get(id) else {
+            return;
+        };
+        if self.up.get(offer).is_some_and(|t| t > since) {
+            return;
+        }
+        let (until, count) = self.failed.entry(offer.clone()).or_insert((now, 0));
+        // Those of one rental count once.
+        if *until <= now {
+            *until = now + pause * 2u32.pow((*count).min(3));
+            *count += 1;
+        }
+    }
+
+    pub fn is_left_alone(&self, offer: &Offer, now: Instant) -> bool {
+        self.failed
+            .get(offer)
+            .is_some_and(|(until, _)| *until > now)
+    }
+}
+
+/// PROTOCOL: a boot usually takes at most so many times what the cloud says.
+const BOOT_USUAL: f64 = 1.5;
+
 #[derive(Default)]
 pub struct FleetState {
     /// The last report of a worker that asked to be claimed, without tasks:
@@ -63,6 +153,7 @@
     pub recalled: HashSet<String>,
     /// Offers that were refused, and how often in a row.
     refused: HashMap<Offer, (Instant, u32)>,
+    boots: Boots,
     empty_since: HashMap<String, Instant>,
     first_seen: HashMap<String, Instant>,
     /// Machines whose live reports show a token below the recorded one.
@@ -141,6 +232,9 @@
         for at in spans.into_iter().flat_map(|s| s.values_mut()) {
             *at = skipped(*at, gap, now);
         }
+        for (since, _) in self.boots.since.values_mut() {
+            *since = skipped(*since, gap, now);
+        }
         for seen in self.unshown.values_mut() {
             seen.first = skipped(seen.first, gap, now);
             seen.last = skipped(seen.last, gap, now);
@@ -1420,7 +1514,13 @@
             Life::Returning | Life::Gone => {}
         }
     }
-    for (id, kind, _, spot) in booting(&view) {
+    let up = |id: &str| {
+        let machine = view.machines.get(id).map(|m| &m.value);
+        machine.is_some_and(|m| m.life == Life::Active)
+    };
+    let boots = &mut fleet.boots;
+    boots.see(booting(&view), up, now);
+    for (id, kind, zone, spot) in booting(&view) {
         let Some(kind) = view.type_of(kind) else {
             continue;
         };
@@ -1429,8 +1529,16 @@
             .settings
             .policy
             .boot_limit_s(&machine_facts(kind, spot));
-        if now.saturating_duration_since(first) > Duration::from_secs_f64(limit) {
+        let age = now.saturating_duration_since(first).as_secs_f64();
+        let late_s = fleet.boots.late_s(kind, zone, limit);
+        let pause = Duration::from_secs_f64(late_s);
+        if age > late_s && fleet.boots.late.insert(id.to_string()) {
+            tracing::info!(machine = id, kind = kind.name, zone, late_s, "is late");
+            fleet.boots.fails(id, pause, now);
+        }
+        if age > limit {
             leaving.push((id.to_string(), Life::Returning, "never came up"));
+            fleet.boots.fails(id, pause * 2, now);
         }
     }
     let mut known: HashSet<&str> = view.machines.keys().map(String::as_str).collect();
@@ -1444,8 +1552,10 @@
     leaving
 }
 
-/// Room that is on its way: booting machines and recorded rentals.
-fn add_coming(plan: &mut Plan, view: &View) {
+/// Room that is on its way: booting machines and recorded rentals. Not those
+/// that are late: another is rented in their stead, and they are used if they
+/// come all the same.
+fn add_coming(plan: &mut Plan, view: &View, late: &HashSet<String>) {
     let mut add = |kind: &str, zone: &str, spot: bool| {
         if let Some(t) = view.type_of(kind)
             && let Some(class) = view.find_class(kind, zone, spot)
@@ -1453,7 +1563,7 @@
             plan.add(class, Room::of_type(t));
         }
     };
-    for (_, kind, zone, spot) in booting(view) {
+    for (_, kind, zone, spot) in booting(view).filter(|b| !late.contains(b.0)) {
         add(kind, zone, spot);
     }
     for e in view.hires.values().filter(|e| e.value.machines.is_empty()) {
@@ -1474,13 +1584,13 @@
     if view.types.value.types.is_empty() {
         return Vec::new();
     }
+    let now = Instant::now();
     let mut plan = Plan::of(&view);
-    add_coming(&mut plan, &view);
+    add_coming(&mut plan, &view, &node.fleet.borrow().boots.late);
     let home = "";
     let hints = Hints::new(&view, home);
     // The work that running independent tasks leave room for soon.
     let mut turnover = running_cpus(&view);
-    let now = Instant::now();
     let most = settings.deployment.state.txn_ops.saturating_sub(2).max(1);
     let ages = node.ages.borrow();
     for id in admission::queue(&view, &plan, settings, &ages, now) {
@@ -1707,6 +1817,7 @@
                 let offer = (t.name.clone(), zone.clone(), spot);
                 let refused = fleet.refused.get(&offer);
                 if refused.is_some_and(|(until, _)| *until > now)
+                    || fleet.boots.is_left_alone(&offer, now)
                     || hires.get(&offer).is_some_and(|h| h.1.count >= RENT_MOST)
                 {
                     continue;
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -572,6 +572,39 @@
     });
 }
 
+/// Machines of one zone never come up: others are rented in their stead, once
+/// for each need; they go back; and what can run nowhere else does not rent and
+/// return without end.
+#[test]
+fn machines_that_never_come_up_are_replaced_and_go_back() {
+    in_world(|| async {
+        let w = World::new(60).await;
+        w.barren.set(Some("a"));
+        let jobs = [("batch", 4), ("gang", 2), ("daemon", 2)];
+        for (n, (kind, tasks)) in (1..).zip(jobs) {
+            w.submit(job(n, kind, tasks, 3.0)).await;
+        }
+        w.until("job-000001", "done", 40).await;
+        w.until("job-000002", "done", 40).await;
+        w.until("job-000003", "running", 20).await;
+        assert!(w.rented.get() <= 9, "{}", w.rented.get());
+        let mut bound = job(4, "batch", 2, 3.0);
+        bound["yard"] = json!("a");
+        let bound = w.submit(bound).await;
+        sleep(Duration::from_secs(300)).await;
+        // One machine for two tasks, a second when it is late, and so on: each
+        // time it is left alone for longer.
+        assert!(w.rented.get() <= 9 + 12, "{}", w.rented.get());
+        assert_eq!(w.stage(0, &bound).await.as_deref(), Some("queued"));
+        w.barren.set(None);
+        w.until(&bound, "done", 400).await;
+        sleep(Duration::from_secs(60)).await;
+        let there = w.workers.borrow().len();
+        assert!(there <= 3, "{there} machines");
+        w.assert_kept();
+    });
+}
+
 /// A renter that is back at once finds its own state lease still standing.
 #[test]
 fn a_renter_that_is_back_at_once_rents_on() {
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -382,7 +382,9 @@
     pub broken: RefCell<Vec<String>>,
     pub shape: Shape,
     /// Machines that were ever rented.
-    rented: Cell<usize>,
+    pub rented: Cell<usize>,
+    /// The zone in which machines never come up.
+    pub barren: Cell<Option<&'static str>>,
     pub starts: Cell<usize>,
     controllers: RefCell<Vec<Option<JoinHandle<()>>>>,
     frozen: Vec<watch::Sender<bool>>,
@@ -447,6 +449,7 @@
             broken: RefCell::default(),
             starts: Cell::new(0),
             rented: Cell::new(0),
+            barren: Cell::new(None),
             controllers: RefCell::new((0..shape.controllers).map(|_| None).collect()),
             frozen: (0..shape.controllers)
                 .map(|_| watch::Sender::new(false))
@@ -635,10 +638,13 @@
             deaf: Cell::new(false),
             sent: RefCell::default(),
         });
-        let tasks = vec![
-            spawn_local(self.clone().listen(worker.clone())),
-            spawn_local(self.clone().beat(worker.clone())),
-        ];
+        let tasks = match self.barren.get() == Some(worker.zone.as_str()) {
+            true => vec![],
+            false => vec![
+                spawn_local(self.clone().listen(worker.clone())),
+                spawn_local(self.clone().beat(worker.clone())),
+            ],
+        };
         self.workers
             .borrow_mut()
             .insert(name.clone(), (worker, tasks));
