--- a/src/api.rs
+++ b/src/api.rs
@@ -365,25 +365,45 @@
     }
 }
 
+/// Whether a question is turned away: users ask more than can be answered, and
+/// this one was answered here a short while ago. Beats, claims and submissions
+/// need the processor more; but whoever asks about a job is answered now and
+/// then by every controller, or it would look forgotten.
+pub fn sheds(lag: Duration, answered: Option<Duration>, settings: &Settings) -> bool {
+    let report = settings.report();
+    lag > report / 8 && answered.is_some_and(|age| age < settings.lease() / 2)
+}
+
 async fn poll(node: &Node, id: &str) -> Response {
-    poll_within(node, id, POLL_WAIT).await
+    let age = node.answered.borrow().get(id).map(Instant::elapsed);
+    let open = {
+        let view = node.view.borrow();
+        view.jobs.get(id).is_some_and(|e| e.value.is_open())
+    };
+    if open && sheds(node.lag(), age, &node.settings) {
+        // At once, with when to come back.
+        return Response::unavailable("asked more often than can be answered", 2);
+    }
+    let response = poll_within(node, id, POLL_WAIT).await;
+    if open && response.status == 200 {
+        let mut answered = node.answered.borrow_mut();
+        answered.insert(id.to_string(), Instant::now());
+    }
+    response
 }
 
 async fn poll_within(node: &Node, id: &str, limit: Duration) -> Response {
     if !is_job_id(id) {
         return Response::error(404, "no such job");
     }
-    let known = |node: &Node| {
+    let known = |final_only: bool| {
         let view = node.view.borrow();
-        view.jobs.get(id).map(|e| {
-            (
-                e.value.is_open(),
-                Response::json(200, &state_of(id, &e.value)),
-            )
-        })
+        let job = view.jobs.get(id).map(|e| &e.value);
+        let job = job.filter(|j| !final_only || !j.is_open());
+        job.map(|j| Response::json(200, &state_of(id, j)))
     };
     // A final state never changes: it needs no barrier.
-    if let Some((false, response)) = known(node) {
+    if let Some(response) = known(true) {
         return response;
     }
     // Safety 1: anything else must not be older than what another controller
@@ -392,10 +412,7 @@
     if !node.has_state() || !node.barrier(limit).await {
         return busy();
     }
-    match known(node) {
-        Some((_, response)) => response,
-        None => Response::error(404, "no such job"),
-    }
+    known(false).unwrap_or_else(|| Response::error(404, "no such job"))
 }
 
 async fn withdraw(node: &Rc<Node>, id: &str) -> Response {
--- a/src/node.rs
+++ b/src/node.rs
@@ -37,6 +37,11 @@
     pub started: Instant,
     /// When this process last ran, as far as it has noticed.
     ran: Cell<Instant>,
+    /// How late its timers fire of late: what it is asked for exceeds its share
+    /// of the processor.
+    lag: Cell<Duration>,
+    /// When a question about a job was last answered here.
+    pub answered: RefCell<HashMap<String, Instant>>,
     pub view: RefCell<View>,
     /// The revision that the view has reached, for those who wait on it.
     pub reached: watch::Sender<u64>,
@@ -105,6 +110,8 @@
             incarnation: rng.random_range(1..u64::from(u32::MAX)),
             started: now,
             ran: Cell::new(now),
+            lag: Cell::default(),
+            answered: RefCell::default(),
             view: RefCell::default(),
             reached: watch::Sender::new(0),
             stir: Notify::new(),
@@ -154,14 +161,26 @@
         now
     }
 
-    /// Notices soon when this process has stood still.
+    /// Notices soon when this process has stood still, or falls behind.
     pub async fn keep_pulse(self: Rc<Self>) {
+        let tick = self.settings.lease() / 32;
         loop {
-            self.pulse();
-            sleep(self.settings.lease() / 32).await;
+            let now = self.pulse();
+            sleep(tick).await;
+            // Timers fire in steps of some milliseconds: a mean of a few.
+            let late = now.elapsed().saturating_sub(tick);
+            self.lag.set((self.lag.get() * 3 + late) / 4);
+            let lease = self.settings.lease();
+            let mut answered = self.answered.borrow_mut();
+            answered.retain(|_, t| t.elapsed() < lease);
         }
     }
 
+    /// How far this process is behind.
+    pub fn lag(&self) -> Duration {
+        self.lag.get()
+    }
+
     /// The span in which this controller may make one request of its share.
     pub fn request_gap(&self) -> Duration {
         let d = &self.settings.deployment;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -7,7 +7,7 @@
 
 use serde_json::json;
 use shelfhoist::admission::{self, Care, Hints, Plan, Wait};
-use shelfhoist::api::{Refusal, check_submission, read_submission};
+use shelfhoist::api::{Refusal, check_submission, read_submission, sheds};
 use shelfhoist::draft::{Draft, Released};
 use shelfhoist::fleet::{Blame, blame};
 use shelfhoist::http::{CallError, Client, Parsed, Response, ServerLimits, parse_request, serve};
@@ -446,6 +446,29 @@
     assert_eq!(gang.fin, Final::Done, "final states never change");
 }
 
+/// Users who ask too often are turned away first, yet every job is answered for
+/// now and then: unanswered for 75 s it would count as forgotten.
+#[test]
+fn questions_are_shed_only_when_answered_just_now() {
+    let settings = settings();
+    let ms = Duration::from_millis;
+    let (report, lease) = (settings.report(), settings.lease());
+    for (lag, answered, shed) in [
+        (ms(0), Some(ms(100)), false),
+        (report / 10, Some(ms(100)), false),
+        (report / 2, Some(ms(100)), true),
+        (report * 9, Some(lease / 3), true),
+        (report * 9, Some(lease), false),
+        (report * 9, None, false),
+    ] {
+        assert_eq!(
+            sheds(lag, answered, &settings),
+            shed,
+            "{lag:?} {answered:?}"
+        );
+    }
+}
+
 /// A job that fails on several machines is to blame itself, until it succeeds
 /// anywhere; a machine is, where what failed on it succeeds elsewhere.
 #[test]
