--- a/src/admission.rs
+++ b/src/admission.rs
@@ -16,7 +16,7 @@
 use crate::policy::JobFacts;
 use crate::settings::{Settings, TeamTerms};
 use crate::view::{Spot, View};
-use crate::wire::Kind;
+use crate::wire::{Kind, Priority};
 
 /// Why a job has to wait, as the decision found it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
@@ -55,21 +55,41 @@
     /// Where a machine stands in `spots`, by its number.
     at: Vec<u32>,
     pub teams: HashMap<String, Room>,
+    /// The CPUs of all machines that take work.
+    cpus: Amount,
 }
 
+/// A team without a guarantee goes before borrowers with one part in so many.
+const GUEST_PART: i64 = 20;
+
 impl Plan {
     pub fn of(view: &View) -> Self {
         let mut plan = Plan {
             spots: view.spots().map(|s| view.with_room(s)).collect(),
             at: vec![UNNAMED; view.machine_names.len()],
             teams: view.teams_used().clone(),
+            cpus: Amount::default(),
+        };
+        let cpus_of = |class: &crate::view::Class| {
+            let kind = view.class_type(class);
+            kind.map_or(0, |t| Amount::room(t.cpus).0)
         };
+        let cpus: Vec<i64> = view.classes.iter().map(cpus_of).collect();
+        let all = plan.spots.iter().map(|s| cpus[s.class as usize]);
+        plan.cpus = Amount(all.sum());
         for (at, spot) in plan.spots.iter().enumerate() {
             plan.at[spot.machine as usize] = at as u32;
         }
         plan
     }
 
+    /// What a team without a guarantee counts as guaranteed in the queue's order,
+    /// and there alone: a part of the site that nobody misses, but that keeps
+    /// such a team from waiting for as long as others borrow.
+    fn guest_part(&self) -> Amount {
+        Amount(self.cpus.0 / GUEST_PART)
+    }
+
     pub fn used(&self, team: &str) -> Room {
         self.teams.get(team).copied().unwrap_or_default()
     }
@@ -645,6 +665,22 @@
     queue.into_iter().map(|(_, id)| id).collect()
 }
 
+/// Whether an objective speaks of the job's class.
+pub fn is_aimed(spec: &Spec, settings: &Settings) -> bool {
+    let mut objectives = settings.deployment.objectives.iter();
+    objectives.any(|o| o.class.as_ref() == Some(&spec.class))
+}
+
+/// Whether a job only fills what stands idle: low work without a deadline or an
+/// objective, which saves when it is stopped.
+pub fn is_filler(spec: &Spec, settings: &Settings) -> bool {
+    spec.kind == Kind::Array
+        && spec.priority == Priority::Low
+        && spec.deadline_s.is_none()
+        && spec.checkpoint_s > 0.0
+        && !is_aimed(spec, settings)
+}
+
 /// Whether a job of this age, started now, is too late for every objective of
 /// its class. A job without objectives is never late.
 pub fn is_late(spec: &Spec, settings: &Settings, age: f64) -> bool {
@@ -685,7 +721,11 @@
             } else {
                 1
             };
-            let g = terms.guarantee();
+            let mut g = terms.guarantee();
+            let guest = g.is_empty();
+            if guest {
+                g.cpus = plan.guest_part();
+            }
             // A team without a guarantee counts as if it had one unit.
             let part = |u: Amount, g: Amount| u.units() / g.units().max(1.0);
             let share = if on_gpus {
@@ -693,7 +733,11 @@
             } else {
                 part(used.cpus, g.cpus)
             };
-            (!within_guarantee(terms, &used, spec, tasks), share)
+            let within = match guest {
+                true => (used + spec.need.times(tasks)).cpus <= g.cpus && !on_gpus,
+                false => within_guarantee(terms, &used, spec, tasks),
+            };
+            (!within, share)
         }
         None => (true, f64::MAX),
     };
@@ -723,6 +767,7 @@
         },
         has_deadline: spec.deadline_s.is_some(),
         boot_s: view.least_boot_s(),
+        aimed: is_aimed(spec, settings),
     }
 }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -19,6 +19,7 @@
 use crate::model::{DOUBT, Final, Hire, Job, Life, Machine, Part, Renter, Room, Spec, Types};
 use crate::node::{Node, guard, put, skipped};
 use crate::policy::MachineFacts;
+use crate::settings::Settings;
 use crate::store::{Bucket, Class, StoreError};
 use crate::view::{
     Entry, FLEET_KEY, TYPES_KEY, View, arrivals_key, hire_key, job_key, node_key, part_id, part_key,
@@ -1450,6 +1451,29 @@
     }
 }
 
+/// Whether all that a machine runs fills idle time, at a price that such work
+/// is not worth.
+fn only_fillers(
+    view: &View,
+    settings: &Settings,
+    machine: &str,
+    kind: &MachineType,
+    spot: bool,
+) -> bool {
+    view.jobs_on(machine).all(|(_, e)| {
+        let spec = e.value.spec.as_ref().filter(|_| e.value.is_open());
+        spec.is_some_and(|s| {
+            let slots = Room::of_type(kind).slots(&s.need).max(1) as f64;
+            let worth = cheapest_of(view, s) * FILLER_PRICE;
+            admission::is_filler(s, settings) && cost(kind, spot) / slots > worth
+        })
+    })
+}
+
+/// How many times the cheapest price a machine may cost that is kept for work
+/// that only fills idle time.
+const FILLER_PRICE: f64 = 4.0;
+
 /// Machines that the renter sends away, and why.
 fn judge(node: &Node) -> Leaving {
     let now = node.pulse();
@@ -1459,6 +1483,7 @@
     // cut off with it: they come back together, and to return them would be to
     // rent a third of the fleet anew.
     let orphaned = node.settings.lease() * 3;
+    let settings = &node.settings;
     let plan = Plan::of(&view);
     let kept = headroom(node, &view, &plan);
     let mut spare = spare_places(&view, &plan, None);
@@ -1488,7 +1513,14 @@
                         continue;
                     }
                 }
-                if view.bookings.contains_key(id) {
+                // Work that fills what stands idle does not keep a machine that
+                // costs more than such work may: it saves, and goes elsewhere.
+                let booked = view.bookings.contains_key(id);
+                let pinned = booked && !only_fillers(&view, settings, id, kind, m.spot);
+                if pinned || (booked && m.life == Life::Draining) {
+                    if !pinned {
+                        fleet.recalled.insert(id.clone());
+                    }
                     fleet.empty_since.remove(id);
                     continue;
                 }
@@ -1508,7 +1540,10 @@
                         }
                         spare -= here.min(spare);
                     }
-                    leaving.push((id.clone(), Life::Returning, "idle"));
+                    leaving.push(match booked {
+                        true => (id.clone(), Life::Draining, "holds up fillers alone"),
+                        false => (id.clone(), Life::Returning, "idle"),
+                    });
                 }
             }
             Life::Returning | Life::Gone => {}
--- a/src/node.rs
+++ b/src/node.rs
@@ -169,6 +169,8 @@
             sleep(tick).await;
             // Timers fire in steps of some milliseconds: a mean of a few.
             let late = now.elapsed().saturating_sub(tick);
+            // One long gap is not load.
+            let late = late.min(self.settings.report() / 2);
             self.lag.set((self.lag.get() * 3 + late) / 4);
             let lease = self.settings.lease();
             let mut answered = self.answered.borrow_mut();
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -83,6 +83,7 @@
         1e5,
         "the shortest boot time of all machine types",
     ),
+    truth("aimed", "an objective speaks of its class"),
 ];
 
 /// Variables of a machine, in the order of [`MachineFacts`].
@@ -140,7 +141,7 @@
         name: "rent_price_ratio",
         subject: Subject::Job,
         range: Some(span(1.0, 1e6)),
-        default: "if(kind == array, if(has_deadline, 20, 7), 1000000)",
+        default: "if(kind == array, if(has_deadline, 20, if(aimed or priority > low, 7, 2)), 1000000)",
         meaning: "the dearest offer to rent, over the cheapest type's price for a task",
     },
     Rule {
@@ -701,10 +702,11 @@
     pub kind: f64,
     pub has_deadline: bool,
     pub boot_s: f64,
+    pub aimed: bool,
 }
 
 impl JobFacts {
-    fn vars(&self) -> [f64; 12] {
+    fn vars(&self) -> [f64; 13] {
         let truth = |b: bool| f64::from(u8::from(b));
         let values = [
             truth(self.borrows),
@@ -719,6 +721,7 @@
             self.kind,
             truth(self.has_deadline),
             self.boot_s,
+            truth(self.aimed),
         ];
         bounded(values, JOB_VARIABLES)
     }
