--- a/src/policy.rs
+++ b/src/policy.rs
@@ -141,7 +141,7 @@
         name: "rent_price_ratio",
         subject: Subject::Job,
         range: Some(span(1.0, 1e6)),
-        default: "if(kind == array, if(has_deadline, 20, if(aimed or priority > low, 7, 2)), 1000000)",
+        default: "if(kind == array, if(has_deadline, 20, if(aimed || priority > low, 7, 2)), 1000000)",
         meaning: "the dearest offer to rent, over the cheapest type's price for a task",
     },
     Rule {
