--- a/src/admission.rs
+++ b/src/admission.rs
@@ -55,41 +55,21 @@
     /// Where a machine stands in `spots`, by its number.
     at: Vec<u32>,
     pub teams: HashMap<String, Room>,
-    /// The CPUs of all machines that take work.
-    cpus: Amount,
 }
 
-/// A team without a guarantee goes before borrowers with one part in so many.
-const GUEST_PART: i64 = 20;
-
 impl Plan {
     pub fn of(view: &View) -> Self {
         let mut plan = Plan {
             spots: view.spots().map(|s| view.with_room(s)).collect(),
             at: vec![UNNAMED; view.machine_names.len()],
             teams: view.teams_used().clone(),
-            cpus: Amount::default(),
-        };
-        let cpus_of = |class: &crate::view::Class| {
-            let kind = view.class_type(class);
-            kind.map_or(0, |t| Amount::room(t.cpus).0)
         };
-        let cpus: Vec<i64> = view.classes.iter().map(cpus_of).collect();
-        let all = plan.spots.iter().map(|s| cpus[s.class as usize]);
-        plan.cpus = Amount(all.sum());
         for (at, spot) in plan.spots.iter().enumerate() {
             plan.at[spot.machine as usize] = at as u32;
         }
         plan
     }
 
-    /// What a team without a guarantee counts as guaranteed in the queue's order,
-    /// and there alone: a part of the site that nobody misses, but that keeps
-    /// such a team from waiting for as long as others borrow.
-    fn guest_part(&self) -> Amount {
-        Amount(self.cpus.0 / GUEST_PART)
-    }
-
     pub fn used(&self, team: &str) -> Room {
         self.teams.get(team).copied().unwrap_or_default()
     }
@@ -721,11 +701,7 @@
             } else {
                 1
             };
-            let mut g = terms.guarantee();
-            let guest = g.is_empty();
-            if guest {
-                g.cpus = plan.guest_part();
-            }
+            let g = terms.guarantee();
             // A team without a guarantee counts as if it had one unit.
             let part = |u: Amount, g: Amount| u.units() / g.units().max(1.0);
             let share = if on_gpus {
@@ -733,11 +709,7 @@
             } else {
                 part(used.cpus, g.cpus)
             };
-            let within = match guest {
-                true => (used + spec.need.times(tasks)).cpus <= g.cpus && !on_gpus,
-                false => within_guarantee(terms, &used, spec, tasks),
-            };
-            (!within, share)
+            (!within_guarantee(terms, &used, spec, tasks), share)
         }
         None => (true, f64::MAX),
     };
