A full job record has room for the machines that it fails on

Worked out: the list of up to four names came on top of what record_slots counted, so that a record at value_kb would have been refused with every end of the job. Test: full records with failures on six machines stay within value_kb.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
-use crate::model::{Amount, Job, Room, Spec};
+use crate::model::{Amount, FAILED_ON, Job, Room, Spec};
 use crate::policy::JobFacts;
 use crate::settings::{Settings, TeamTerms};
 use crate::view::{Spot, View};
@@ -148,7 +148,7 @@
 /// tasks share one attempt, see `placement::book`.
 pub fn record_slots(job: &Job, places: &[Place], value_bytes: usize) -> usize {
     // Keys, counters, and the mark of a run that was split for a stop.
-    const FIXED: usize = 192;
+    const FIXED: usize = 240;
     const RUN: usize = 72;
     let digits = |n: u64| n.checked_ilog10().unwrap_or(0) as usize + 1;
     // A number and its comma; of two that touch, the dash between.
@@ -156,7 +156,12 @@
     let run =
         |machine: &str, zone: &str, attempt| machine.len() + zone.len() + digits(attempt) + RUN;
     let spec = serde_json::to_vec(&job.spec).map_or(value_bytes, |v| v.len());
-    let mut size = FIXED + spec + (job.booked() + job.retry.len()) * task;
+    // The machines that it may come to have failed on, with quotes and comma.
+    let named = job.runs.iter().map(|r| r.machine.len());
+    let named = named.chain(places.iter().map(|p| p.machine.len()));
+    let named = named.chain(job.failed_on.iter().map(String::len));
+    let failed_on = FAILED_ON * (named.max().unwrap_or(0) + 3);
+    let mut size = FIXED + spec + failed_on + (job.booked() + job.retry.len()) * task;
     for r in &job.runs {
         size += run(&r.machine, &r.zone, r.attempt);
     }
--- a/src/model.rs
+++ b/src/model.rs
@@ -377,7 +377,7 @@
 pub const DOUBT: usize = 3;
 
 /// How many of those machines its record names.
-const FAILED_ON: usize = DOUBT + 1;
+pub const FAILED_ON: usize = DOUBT + 1;
 
 fn is_zero_u64(n: &u64) -> bool {
     *n == 0
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -455,7 +455,8 @@
     let settings = Settings::parse(&json.to_string()).expect("settings");
     let mut work = spec(Kind::Array, 4, 1.0);
     work.priority = Priority::Low;
-    let cases: [(&str, fn(&mut Spec), bool); 6] = [
+    type Case = (&'static str, fn(&mut Spec), bool);
+    let cases: [Case; 6] = [
         ("plain", |_| {}, true),
         ("cannot save", |s| s.checkpoint_s = 0.0, false),
         ("due", |s| s.deadline_s = Some(9.0), false),
@@ -911,6 +912,15 @@
         };
         let places: Vec<_> = places.iter().collect();
         shelfhoist::draft::book(&mut job, &s, &places);
+        // What fails on some machines is noted, too.
+        for run in job.runs.clone().iter().rev().take(FAILED_ON + 2) {
+            let task = run.tasks.iter().next().expect("a task");
+            let mut failed = job.clone();
+            assert!(failed.release(&run.machine, run.attempt, task, Outcome::Failed));
+            let size = serde_json::to_vec(&failed).expect("job").len();
+            assert!(size <= set.value_bytes(), "{size} bytes with failures");
+            job = failed;
+        }
         // Every second one ends, the rest stays scattered.
         let ends: Vec<_> = job
             .runs
