4,000 machines: shards of a home in groups, connections in turns, strict stand-ins

Tried against stand-ins that now enforce request rates, pages, kept changes, keys and the cloud's sizes and rates: a home with more shards than a commit has conditions left 786 of 4,000 machines unclaimed; with 900 sockets 2,631 were shut out at the start, and with 2,752 sockets 3,530 leases ran out when one controller was left.

Change: beyond a group's size a new machine is chosen among the shards that its name selects, once all controllers know (formats 3); new machines that do not fit a commit wait for the next; planning of claims is no longer quadratic; when nearly all connections are taken those of workers are closed after the answer, and few heartbeats wait for claims where workers outnumber connections.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -38,7 +38,7 @@
         connections: node.settings.served_connections(),
         idle: node.settings.lease() * 4,
         arrive: ARRIVAL_LIMIT,
-        // One connection a machine, for as long as it reports here.
+        // One connection a machine, while there are connections for all.
         stays: |request| request.path == REPORT_PATH,
     };
     let handler = Rc::new(move |request: Request| -> crate::http::Answer {
--- a/src/cloud/list.rs
+++ b/src/cloud/list.rs
@@ -155,8 +155,11 @@
                 continue;
             }
             let mut machine = machine.clone();
-            machine.shard =
-                machine_shards.new_shard(&node.settings, id, &machine.kind, &machine.zone);
+            let shard = machine_shards.new_shard(&node.settings, id, &machine.kind, &machine.zone);
+            let Some(shard) = shard else {
+                continue;
+            };
+            machine.shard = shard;
             recorded.push((id, machine.life));
             machine_shards.put(id, machine);
         }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -37,15 +37,29 @@
     /// A request, once begun, must have arrived after this long; so must the
     /// client have taken its answer.
     pub arrive: Duration,
-    /// Whose connections are not closed after the answer when most are taken:
-    /// the others come back on new ones, and none is shut out by those that
-    /// idle.
+    /// Whose connections are kept longest when connections run short.
     pub stays: fn(&Request) -> bool,
 }
 
+/// Connections are counted in eighths of those that a server may have.
+const EIGHTHS: usize = 8;
+
+/// With more than so many eighths taken, only those that stay are kept open.
+const CROWDED_EIGHTHS: usize = 6;
+
+/// With more than so many eighths taken, no connection is kept open.
+const NEARLY_FULL_EIGHTHS: usize = 7;
+
 impl ServerLimits {
-    fn is_crowded(&self, open: usize) -> bool {
-        open > self.connections / 4 * 3
+    /// Whether a connection is kept open after the answer, with so many open. The
+    /// others come back on new connections: those that idle must not shut out the
+    /// rest, and there may be more workers than connections.
+    fn keeps_open(&self, stays: bool, open: usize) -> bool {
+        let eighths = match stays {
+            true => NEARLY_FULL_EIGHTHS,
+            false => CROWDED_EIGHTHS,
+        };
+        open * EIGHTHS <= self.connections * eighths
     }
 }
 
@@ -103,7 +117,7 @@
         };
         let stays = (limits.stays)(&request);
         let response = handler(request).await;
-        let keep_alive = keep_alive && (stays || !limits.is_crowded(open.get()));
+        let keep_alive = keep_alive && limits.keeps_open(stays, open.get());
         let bytes = encode(&response, keep_alive);
         match timeout(limits.arrive, stream.write_all(&bytes)).await {
             Ok(done) => done?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod api;
 pub mod cli;
 pub mod cloud;
+mod hash;
 pub mod http;
 pub mod mesh;
 pub mod net;
--- a/src/node.rs
+++ b/src/node.rs
@@ -89,6 +89,8 @@
     pub arrivals_wanted: Notify,
     /// Claims that wait to be committed, by machine.
     pub claims: RefCell<BTreeMap<String, Claim>>,
+    /// How many heartbeats wait for their claims, each with its connection.
+    pub claims_awaited: Cell<usize>,
     /// Wakes the commits of claims.
     pub claims_wanted: Notify,
     /// Wakes the publication of room: a machine can take work from now on.
@@ -149,6 +151,7 @@
             arrivals: RefCell::default(),
             arrivals_wanted: Notify::new(),
             claims: RefCell::default(),
+            claims_awaited: Cell::new(0),
             claims_wanted: Notify::new(),
             publication_wanted: Notify::new(),
             peers: RefCell::default(),
--- a/src/scheduler/machine_shards.rs
+++ b/src/scheduler/machine_shards.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::shard_allocation::{Candidates, max_group, numbered_id, uses_groups};
 use super::transaction::{COMMIT_BYTES, GUARDS_PER_WRITE};
 use crate::node::guard;
 use crate::settings::Settings;
@@ -151,38 +152,70 @@
         self.edit(&id).insert(name.to_string(), machine);
     }
 
-    /// The zone shard that a machine without a record belongs to from now on: the
-    /// first of its home controller's, in its zone, whose records have room
-    /// for it. The home follows from the settings alone, and all of its zone shards
-    /// are guarded: two controllers that take a machine up at once cannot put
-    /// it into two.
-    pub fn new_shard(&mut self, settings: &Settings, name: &str, kind: &str, zone: &str) -> String {
+    /// The shard that a machine without a record belongs to from now on: the first
+    /// of its candidates with room for its records, or a new one. The home follows
+    /// from the settings alone. `None` if the commit has no room for the conditions
+    /// that this depends on.
+    pub fn new_shard(
+        &mut self,
+        settings: &Settings,
+        name: &str,
+        kind: &str,
+        zone: &str,
+    ) -> Option<String> {
         let home = settings.home(name, zone);
+        let shards = self.shard_count(zone, home);
+        let grouped = uses_groups(self.replica, &shard_id(zone, home));
+        let candidates = match grouped {
+            true => Candidates::select(name, shards, max_group(settings)),
+            false => Candidates::all(shards),
+        };
+        let conditions: BTreeSet<String> = candidates
+            .numbers()
+            .chain([candidates.next()])
+            .map(|number| numbered_id(zone, home, number))
+            .collect();
+        if self.guard_count_with(&conditions) > guard_limit(settings, grouped) {
+            return None;
+        }
+        self.guarded.extend(conditions);
         let sizes = MemberSizes {
             short: self.replica.uses_compact_encoding(),
             longest_name: settings.longest_name(),
         };
-        let mut found = None;
-        let mut number = 0;
-        loop {
-            let shard = format!("{home}.{number}");
-            let id = shard_id(zone, &shard);
-            let limit = shard_limit(settings, sizes.short, number);
-            let known = self.replica.machine_shards.get(&id).map(|e| &e.value);
-            let machine_shard = self.edited.get(&id).or(known);
-            let used = machine_shard.map_or(0, |machine_shard| sizes.machine_shard(machine_shard));
-            let added = sizes.member(name, kind);
-            self.guarded.insert(id);
-            // One that alone is too long for a record still has a zone shard.
-            if found.is_none() && (used == 0 || used + added <= limit) {
-                found = Some(shard);
-            }
-            // Parts are taken in order: behind one that is not there is none.
-            if machine_shard.is_none() {
-                return found.unwrap_or(format!("{home}.{number}"));
-            }
-            number += 1;
-        }
+        let added = sizes.member(name, kind);
+        let with_room = candidates.numbers().find(|number| {
+            let limit = shard_limit(settings, sizes.short, *number);
+            let shard = self.shard(&numbered_id(zone, home, *number));
+            let used = shard.map_or(0, |shard| sizes.machine_shard(shard));
+            // One that alone is too long for a record still has a shard.
+            used == 0 || used + added <= limit
+        });
+        let number = with_room.unwrap_or(candidates.next());
+        Some(format!("{home}.{number}"))
+    }
+
+    /// How many machine shards a home has, those that this commit creates included.
+    fn shard_count(&self, zone: &str, home: &str) -> usize {
+        let exists = |number: &usize| self.shard(&numbered_id(zone, home, *number)).is_some();
+        (0..).take_while(exists).count()
+    }
+
+    /// A machine shard as this commit leaves it.
+    fn shard(&self, id: &str) -> Option<&MachineShard> {
+        let known = || self.replica.machine_shards.get(id).map(|e| &e.value);
+        self.edited.get(id).or_else(known)
+    }
+
+    /// How many machine shards must be as they are if these must be, too.
+    fn guard_count_with(&self, conditions: &BTreeSet<String>) -> usize {
+        let edited: BTreeSet<&String> = self.edited.keys().collect();
+        let guarded = self.guarded.iter().chain(conditions);
+        edited
+            .into_iter()
+            .chain(guarded)
+            .collect::<BTreeSet<_>>()
+            .len()
     }
 
     /// Guards every machine shard that it depends on, and writes those that it changes.
@@ -208,6 +241,16 @@
     }
 }
 
+/// The most conditions of a commit that adds machines. Each of its records may be
+/// split besides, which adds one more. Before shards are used in groups, all
+/// of a home's are conditions, and the limits in force are the present ones.
+fn guard_limit(settings: &Settings, grouped: bool) -> usize {
+    match grouped {
+        true => settings.txn_ops() * (GUARDS_PER_WRITE - 1),
+        false => settings.deployment.state.txn_ops * GUARDS_PER_WRITE,
+    }
+}
+
 /// How long the records of a home's shard of this number may become. Each zone shard is a
 /// condition for the next: behind a few, those that wait for the compact encoding are as
 /// long as records may be until then.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -31,6 +31,7 @@
 mod round_search;
 mod round_state;
 mod rounds;
+mod shard_allocation;
 mod transaction;
 mod victims;
 
@@ -45,5 +46,6 @@
 pub use record_size::{least_record, record_slots};
 pub use round_state::back_off;
 pub use rounds::run_placement;
+pub use shard_allocation::Candidates;
 pub use transaction::{COMMIT_BYTES, GUARDS_PER_WRITE, Released, SLOT, Transaction, book};
 pub use victims::{Victim, may_preempt};
--- a/src/state/encoding/mod.rs
+++ b/src/state/encoding/mod.rs
@@ -17,5 +17,6 @@
 
 pub use job::{encode_job, run_bytes, runs, table_bytes, task_bytes};
 pub use machine_shard::{MEMBER, encode_machine_shard, machine_shard_bytes, member_bytes, members};
+pub(crate) use names::split_name;
 pub use tasks::decode_ranges;
 pub use zone_shard::{encode_zone_shard, is_compact_zone_shard, slots};
--- a/src/state/encoding/names.rs
+++ b/src/state/encoding/names.rs
@@ -9,7 +9,7 @@
 
 /// A name as its prefix, the width of its number and that number; width 0 is a
 /// name that stands in full.
-pub(super) fn split_name(name: &str) -> (&str, usize, u32) {
+pub(crate) fn split_name(name: &str) -> (&str, usize, u32) {
     let digits = name.bytes().rev().take_while(u8::is_ascii_digit).count();
     let width = digits.min(NAME_DIGITS);
     let (prefix, number) = name.split_at(name.len() - width);
--- a/src/state/record_trim.rs
+++ b/src/state/record_trim.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeSet;
 
+use crate::hash::fnv1a;
 use crate::state::records::{Job, Ranges, Resources, Spec};
 use crate::wire::MachineType;
 
@@ -125,16 +126,7 @@
     if name.len() <= SHORTENED_BYTES {
         return;
     }
-    let hash = fnv1a(name.as_bytes());
+    let hash = fnv1a(name.bytes());
     let start: String = name.chars().take(KEPT_CHARS).collect();
     *name = format!("{start}{SHORTENED}{hash:016x}");
 }
-
-/// The 64-bit FNV-1a hash: fixed for all versions, unlike the standard library's.
-fn fnv1a(bytes: &[u8]) -> u64 {
-    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    bytes.iter().fold(OFFSET_BASIS, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(PRIME)
-    })
-}
--- a/src/state/records/controller.rs
+++ b/src/state/records/controller.rs
@@ -20,9 +20,16 @@
     pub formats: u32,
 }
 
-/// The formats that this program reads and may write: 2 has compact encodings for
-/// zone shards, machine shards and runs, and jobs that await others.
-pub const FORMATS: u32 = 2;
+/// The formats with compact encodings for zone shards, machine shards and runs, and
+/// with jobs that await others.
+pub const FORMATS_COMPACT: u32 = 2;
+
+/// The formats in which a home's machine shards may be used in groups: the records
+/// are as before, but other conditions go with a new machine.
+pub const FORMATS_GROUPED_SHARDS: u32 = 3;
+
+/// The newest formats that this program reads and may write.
+pub const FORMATS: u32 = FORMATS_GROUPED_SHARDS;
 
 /// `formats`: which controllers have been seen to run a program that knows the
 /// newer formats, and whether all have. A controller is never seen to go back:
--- a/src/state/records/mod.rs
+++ b/src/state/records/mod.rs
@@ -10,7 +10,7 @@
 mod resources;
 mod spec;
 
-pub use controller::{ControllerRecord, FORMATS, Formats};
+pub use controller::{ControllerRecord, FORMATS, FORMATS_COMPACT, FORMATS_GROUPED_SHARDS, Formats};
 pub use job::{Arrivals, DOUBT, FAILED_ON, Job, JobStatus, Outcome, Run, Team};
 pub use machine::{
     Machine, MachineLifecycle, MachineShard, MachineSlot, Rental, Types, ZoneShard,
--- a/src/state/replica/writes.rs
+++ b/src/state/replica/writes.rs
@@ -6,7 +6,9 @@
 use super::index::is_long;
 use crate::state::keys::{job_key, machine_shard_key, zone_shard_key};
 use crate::state::record_trim::{self, TrimContext};
-use crate::state::records::{FORMATS, Job, JobStatus, MachineShard, ZoneShard};
+use crate::state::records::{
+    FORMATS_COMPACT, FORMATS_GROUPED_SHARDS, Job, JobStatus, MachineShard, ZoneShard,
+};
 use crate::wire::Write;
 
 impl Replica {
@@ -114,9 +116,16 @@
         }
     }
 
-    /// Safety 8: whether every controller of the deployment reads the newer
-    /// formats, so that they may be written.
+    /// Safety 8: whether every controller of the deployment reads the formats with
+    /// compact encodings, so that they may be written.
     pub fn upgraded(&self) -> bool {
-        self.formats.value.all >= FORMATS
+        self.formats.value.all >= FORMATS_COMPACT
+    }
+
+    /// The revision since which every controller knows that machine shards may be
+    /// used in groups; `None` while one may not.
+    pub fn grouped_shards_since(&self) -> Option<u64> {
+        let known = self.formats.value.all >= FORMATS_GROUPED_SHARDS;
+        known.then_some(self.formats.version)
     }
 }
--- a/src/workers/claims.rs
+++ b/src/workers/claims.rs
@@ -4,6 +4,7 @@
 //! token one above the highest known. Heartbeats ask for claims; several are
 //! committed at a time.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +25,10 @@
 /// 4 s, so one that cannot be claimed soon is refused while that still helps it.
 const CLAIM_WAIT: Duration = Duration::from_millis(3200);
 
+/// With more workers than connections, one connection in so many may be held by a
+/// heartbeat that waits for its claim.
+const CONNECTIONS_PER_AWAITED_CLAIM: usize = 16;
+
 /// What has become of a claim.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ClaimProgress {
@@ -49,6 +54,22 @@
     urgent: bool,
 }
 
+/// Counts a heartbeat that waits for its claim, for as long as it does.
+struct WaitingHeartbeat<'a>(&'a Cell<usize>);
+
+impl<'a> WaitingHeartbeat<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        WaitingHeartbeat(count)
+    }
+}
+
+impl Drop for WaitingHeartbeat<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// A claim as its commit records it.
 struct TakenClaim {
     machine: String,
@@ -113,10 +134,25 @@
     /// the state service refuses is not waited for.
     pub(super) async fn claim(&self, id: &str, report: &Report) -> bool {
         let mut progress = self.ask_claim(id, report, true);
-        let answered = progress.wait_for(|progress| *progress != ClaimProgress::Pending);
-        let _ = timeout(CLAIM_WAIT, answered).await;
+        if self.claims_awaited.get() < self.max_claims_awaited() {
+            let _waiting = WaitingHeartbeat::new(&self.claims_awaited);
+            let answered = progress.wait_for(|progress| *progress != ClaimProgress::Pending);
+            let _ = timeout(CLAIM_WAIT, answered).await;
+        }
         self.holds(id)
     }
+
+    /// How many heartbeats may wait for their claims, each with its connection.
+    /// Where there may be more workers than connections, those that wait must not
+    /// shut the others out: most are told to stay, and report again.
+    fn max_claims_awaited(&self) -> usize {
+        let connections = self.settings.served_connections();
+        let machines = self.replica.borrow().machines.len();
+        match machines > connections / 4 * 3 {
+            true => connections / CONNECTIONS_PER_AWAITED_CLAIM,
+            false => connections,
+        }
+    }
 }
 
 /// Commits the claims that heartbeats have asked for, several at a time.
@@ -218,6 +254,7 @@
     order.sort_by_key(|(_, c)| (!c.urgent, c.progress.is_closed()));
     let mut batch = ClaimBatch::default();
     let mut machine_shards = MachineShardEdits::new(&replica);
+    let mut is_full = false;
     for (id, _) in order {
         let Some(report) = fleet.reports.get(id) else {
             batch.decided.push(id.clone());
@@ -226,14 +263,25 @@
         let known = replica.machines.get(id).map(|e| &e.value);
         // A machine of a machine shard that is in the commit already adds nothing to it.
         let machine_shard = known.map(|m| shard_id(&m.zone, &m.shard));
-        if machine_shards.is_full(ops) && !machine_shard.is_some_and(|g| machine_shards.has(&g)) {
+        let is_edited = machine_shard.is_some_and(|id| machine_shards.has(&id));
+        // Once full it stays full, and there may be thousands of claims.
+        is_full = is_full || machine_shards.is_full(ops);
+        if is_full && !is_edited {
             continue;
         }
-        batch.decided.push(id.clone());
         let machine = match known {
-            Some(machine) => machine.clone(),
+            Some(machine) => Some(machine.clone()),
             None => new_machine(node, &mut machine_shards, id, report),
         };
+        let Some(machine) = machine else {
+            // It waits for the next commit, or, where it alone has too many
+            // conditions, for the worker's next report.
+            if batch.taken.is_empty() {
+                batch.decided.push(id.clone());
+            }
+            continue;
+        };
+        batch.decided.push(id.clone());
         if machine.life == MachineLifecycle::Gone {
             continue;
         }
@@ -249,20 +297,21 @@
     batch
 }
 
-/// The record of a machine that has none yet.
+/// The record of a machine that has none yet; `None` if this commit has no room for
+/// the conditions of a new machine.
 fn new_machine(
     node: &Node,
     machine_shards: &mut MachineShardEdits,
     id: &str,
     report: &Report,
-) -> Machine {
+) -> Option<Machine> {
     let (kind, zone) = (&report.kind, &report.zone);
-    let shard = machine_shards.new_shard(&node.settings, id, kind, zone);
-    Machine {
+    let shard = machine_shards.new_shard(&node.settings, id, kind, zone)?;
+    Some(Machine {
         shard,
         spot: report.spot,
         ..Machine::new(kind, zone)
-    }
+    })
 }
 
 /// The record of a machine once this controller has claimed it.
--- /dev/null
+++ b/tests/fleet/four_thousand.rs
@@ -0,0 +1,239 @@
+//! 4,000 machines: a start, a takeover of all by one controller, a fifth of the
+//! machines lost at once, and a restart of all controllers. Every machine is
+//! claimed, listed and takes work, and nothing is sent beyond the limits of the
+//! state service and of the cloud.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use shelfhoist::state::records::{MachineShard, ZoneShard};
+use tokio::time::{Instant, sleep};
+
+use crate::stand_ins::{Shape, World, in_world, job};
+
+const MACHINES: usize = 4000;
+
+/// Tasks of one job: one fills a machine, and a job's record holds about this many.
+const TASKS_PER_JOB: usize = 40;
+
+/// Where the controllers are, and which zones have machines.
+struct Layout {
+    locations: Vec<&'static str>,
+    machine_zones: Vec<&'static str>,
+}
+
+/// The yard's limits, with sockets for fewer workers than there are.
+fn yard(layout: Layout) -> Shape {
+    Shape {
+        controllers: layout.locations.len(),
+        locations: layout.locations,
+        zones: vec!["a", "b", "c"],
+        machine_zones: layout.machine_zones,
+        report_s: 5.0,
+        lease_s: 26.5,
+        cancel_s: 46.5,
+        teams: teams(),
+        state: json!({"rps": 150.0, "write_rps": 50.0, "value_kb": 8.0, "txn_ops": 16}),
+        sockets: 2752,
+        machines: MACHINES,
+        ready_s: 3600.0,
+        boot_s: 4.0,
+    }
+}
+
+/// The clubs' limits, and the fewest sockets that any deployment gives.
+fn clubs(layout: Layout) -> Shape {
+    Shape {
+        report_s: 4.0,
+        lease_s: 22.0,
+        cancel_s: 52.0,
+        state: json!({"rps": 700.0, "write_rps": 300.0, "value_kb": 16.0, "txn_ops": 12}),
+        sockets: 900,
+        ..yard(layout)
+    }
+}
+
+fn teams() -> Vec<(String, f64, f64)> {
+    let team = |n: usize| {
+        (
+            format!("t{n}"),
+            8.0 * MACHINES as f64,
+            64.0 * MACHINES as f64,
+        )
+    };
+    (0..8).map(team).collect()
+}
+
+/// Machines by what the state says of them.
+struct Recorded {
+    /// Held by a controller.
+    claimed: BTreeSet<String>,
+    /// In a zone shard: they take work.
+    listed: BTreeSet<String>,
+}
+
+fn recorded(world: &World) -> Recorded {
+    let mut recorded = Recorded {
+        claimed: BTreeSet::new(),
+        listed: BTreeSet::new(),
+    };
+    for (key, value) in world.state.records("sh/machine/") {
+        let shard: MachineShard = serde_json::from_str(&value.to_string()).expect(&key);
+        let held = shard.machines.into_iter().filter(|(_, m)| m.token > 0);
+        recorded.claimed.extend(held.map(|(name, _)| name));
+    }
+    for (key, value) in world.state.records("sh/zone/") {
+        let shard: ZoneShard = serde_json::from_str(&value.to_string()).expect(&key);
+        recorded.listed.extend(shard.machines.into_keys());
+    }
+    recorded
+}
+
+/// Waits until every machine is claimed and listed.
+async fn all_take_part(world: &World, limit_s: f64, after: &str) {
+    let began = Instant::now();
+    loop {
+        let names: BTreeSet<String> = world.workers.borrow().keys().cloned().collect();
+        let recorded = recorded(world);
+        let unclaimed = names.difference(&recorded.claimed).count();
+        let unlisted = names.difference(&recorded.listed).count();
+        if unclaimed + unlisted == 0 {
+            return;
+        }
+        let spent = began.elapsed().as_secs_f64();
+        assert!(
+            spent < limit_s,
+            "after {after}: {unclaimed} unclaimed, {unlisted} unlisted of {} after {spent} s",
+            names.len()
+        );
+        sleep(Duration::from_secs(1)).await;
+    }
+}
+
+/// Submits work for every machine, a task each, and waits until each has one.
+async fn all_work(world: &World, wave: u32, limit_s: f64, after: &str) -> Vec<String> {
+    let machines = world.workers.borrow().len();
+    let mut ids = Vec::new();
+    for n in 0..machines.div_ceil(TASKS_PER_JOB) {
+        let mut array: Value = job(
+            wave * 1000 + n as u32,
+            "batch",
+            TASKS_PER_JOB as u32,
+            limit_s,
+        );
+        array["crew"] = json!(format!("t{}", n % world.shape.teams.len()));
+        array["vcpus"] = json!(8.0);
+        ids.push(world.submit(array).await);
+    }
+    let began = Instant::now();
+    let mut idle: BTreeSet<String> = world.workers.borrow().keys().cloned().collect();
+    while !idle.is_empty() {
+        for worker in world.busy() {
+            idle.remove(worker.name());
+        }
+        idle.retain(|name| world.workers.borrow().contains_key(name));
+        let spent = began.elapsed().as_secs_f64();
+        assert!(
+            spent < limit_s,
+            "after {after}: {} machines without work",
+            idle.len()
+        );
+        sleep(Duration::from_secs(1)).await;
+    }
+    ids
+}
+
+async fn all_done(world: &World, ids: &[String], limit_s: f64) {
+    let began = Instant::now();
+    for (n, id) in ids.iter().enumerate() {
+        let controller = n % world.shape.controllers;
+        while world.stage(controller, id).await.as_deref() != Some("done") {
+            assert!(began.elapsed().as_secs_f64() < limit_s, "{id} is not done");
+            sleep(Duration::from_secs(1)).await;
+        }
+    }
+}
+
+/// Nothing was refused for its size: values, commits, keys, requests to the cloud.
+fn assert_within_limits(world: &World) {
+    let beyond = world.state.beyond.borrow().clone();
+    assert!(beyond.is_empty(), "{beyond:?}");
+    let refused = world.cloud_refused.borrow().clone();
+    assert!(refused.is_empty(), "{refused:?}");
+}
+
+fn goes_through(shape: Shape) {
+    in_world(|| async move {
+        let lease_s = shape.lease_s;
+        let lease = Duration::from_secs_f64(lease_s);
+        let controllers = shape.controllers;
+        let world = World::of(31, shape).await;
+        all_take_part(&world, lease_s * 3.0, "a start").await;
+        let ids = all_work(&world, 1, lease_s * 6.0, "a start").await;
+        assert_eq!(world.lapsed(), 0, "leases ran out at the start");
+
+        for i in 1..controllers {
+            world.kill(i);
+        }
+        sleep(lease * 2).await;
+        let lapsed = world.lapsed() as usize;
+        assert_eq!(lapsed, 0, "leases ran out on the way to one controller");
+        let held = world.holders();
+        let by_last = held.iter().filter(|(_, holder)| holder == "n0").count();
+        assert_eq!(by_last, MACHINES, "machines of the last controller");
+        for i in 1..controllers {
+            world.start(i);
+        }
+        all_done(&world, &ids, lease_s * 12.0).await;
+
+        let names: Vec<String> = world.workers.borrow().keys().cloned().collect();
+        for name in names.iter().step_by(5) {
+            world.lose(name);
+        }
+        let ids = all_work(&world, 2, lease_s * 12.0, "a fifth was lost").await;
+        for i in 0..controllers {
+            world.kill(i);
+        }
+        sleep(lease / 4).await;
+        for i in 0..controllers {
+            world.start(i);
+        }
+        all_take_part(&world, lease_s * 6.0, "a restart of all").await;
+        all_done(&world, &ids, lease_s * 16.0).await;
+        assert_within_limits(&world);
+        world.assert_kept();
+    });
+}
+
+#[test]
+fn four_thousand_machines_spread_over_three_zones_with_five_controllers() {
+    goes_through(yard(Layout {
+        locations: vec!["a", "b", "c", "a", "b"],
+        machine_zones: vec!["a", "b", "c"],
+    }));
+}
+
+#[test]
+fn four_thousand_machines_in_one_zone_with_five_controllers_of_which_one_is_there() {
+    goes_through(yard(Layout {
+        locations: vec!["a", "b", "c", "b", "c"],
+        machine_zones: vec!["a"],
+    }));
+}
+
+#[test]
+fn four_thousand_machines_spread_over_two_zones_with_three_controllers() {
+    goes_through(clubs(Layout {
+        locations: vec!["a", "a", "b"],
+        machine_zones: vec!["a", "b"],
+    }));
+}
+
+#[test]
+fn four_thousand_machines_in_one_zone_with_three_controllers() {
+    goes_through(clubs(Layout {
+        locations: vec!["a", "a", "a"],
+        machine_zones: vec!["a"],
+    }));
+}
--- a/tests/limits/falls.rs
+++ b/tests/limits/falls.rs
@@ -176,6 +176,7 @@
             value_bytes: 3000,
             txn_ops: 12,
             write_rps: 90.0,
+            ..w.state.limits.get()
         });
         let mut small = Vec::new();
         for n in 0..6 {
--- a/tests/limits/setup.rs
+++ b/tests/limits/setup.rs
@@ -166,6 +166,7 @@
         txn_ops: 4,
         value_bytes: LIMIT,
         write_rps: 27.0,
+        ..w.state.limits.get()
     });
 }
 
--- a/tests/stand_ins/builder.rs
+++ b/tests/stand_ins/builder.rs
@@ -52,6 +52,7 @@
         self.shape.controllers = 1;
         self.shape.locations = vec!["a"];
         self.shape.zones = vec!["a"];
+        self.shape.machine_zones = vec!["a"];
         self
     }
 
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -53,6 +53,7 @@
         txn_ops: 4,
         value_bytes: LIMIT,
         write_rps: 27.0,
+        ..w.state.limits.get()
     });
 }
 
