Zone shards keep room for what their text grows by when machines leave

Cause: with 4,000 machines of one home and limits fallen to 2 KiB and four writes, a fifth of the machines lost at once left 602 of 800 on record and 512 tasks waiting: a machine that leaves splits a range of numbers, the record came to 2,126 of 2,048 bytes, and the commit was refused again and again.

Change: room in a compact zone shard is judged by its longest text, each number by itself; one that may outgrow its record is split in the background; the candidates for a machine's slot end in steps that double, so that their conditions fit a commit of four writes at any size, and lengths are worked out once a change.

--- a/src/state/compaction.rs
+++ b/src/state/compaction.rs
@@ -75,6 +75,7 @@
         tends(node, &replica, home_of(shard))
     };
     compact_zone_shards(&replica, left, &tended, node.settings.txn_ops())
+        .or_else(|| split_long(&replica, left, &tended))
         .or_else(|| merge(&replica, left, &tended))
         .map(|step| (RequestClass::Claim, step))
         .or_else(|| {
@@ -112,6 +113,42 @@
     (!step.1.is_empty()).then_some(step)
 }
 
+/// Moves half of the machines of a zone shard that may outgrow its record into one
+/// of the home that is empty: its text becomes longer as machines leave it, and one that
+/// is too long could not be written. Both are written under guard, as with a merge.
+pub fn split_long(
+    replica: &Replica,
+    left: &HashMap<String, Instant>,
+    tended: &dyn Fn(&str) -> bool,
+) -> Option<Step> {
+    let (id, entry) = replica.zone_shards.iter().find(|(id, entry)| {
+        tended(id)
+            && replica.is_compact_zone_shard(id)
+            && !left.contains_key(&zone_shard_key(id))
+            && replica.may_outgrow_record(&entry.value)
+    })?;
+    let (home, _) = id.rsplit_once('.')?;
+    let is_empty = |id: &String| {
+        let shard = replica.zone_shards.get(id);
+        shard.is_none_or(|entry| entry.value.machines.is_empty())
+            && !left.contains_key(&zone_shard_key(id))
+    };
+    let empty = (0..)
+        .map(|number| format!("{home}.{number}"))
+        .find(is_empty)?;
+    let mut first = entry.value.clone();
+    let middle = first.machines.keys().nth(first.machines.len() / 2)?.clone();
+    let second = ZoneShard {
+        machines: first.machines.split_off(&middle),
+    };
+    let guards = [id, &empty].map(|id| guard(zone_shard_key(id), replica.zone_shard_version(id)));
+    let writes = vec![
+        replica.put_zone_shard(id, &first),
+        replica.put_zone_shard(&empty, &second),
+    ];
+    Some((guards.to_vec(), writes))
+}
+
 /// Empties a part of a home into the first that takes all of it. Both are
 /// written under guard, so each machine stands in one of them throughout.
 pub fn merge(
--- a/src/state/encoding/mod.rs
+++ b/src/state/encoding/mod.rs
@@ -19,4 +19,6 @@
 pub use machine_shard::{MEMBER, encode_machine_shard, machine_shard_bytes, member_bytes, members};
 pub(crate) use names::split_name;
 pub use tasks::decode_ranges;
-pub use zone_shard::{encode_zone_shard, is_compact_zone_shard, slots};
+pub use zone_shard::{
+    encode_zone_shard, is_compact_zone_shard, slot_bytes_bound, slots, zone_shard_bytes_bound,
+};
--- a/src/state/encoding/zone_shard.rs
+++ b/src/state/encoding/zone_shard.rs
@@ -1,12 +1,12 @@
 //! The compact encoding of zone shards.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use serde::de::{Deserializer, MapAccess, SeqAccess, Visitor};
 use serde::{Deserialize, Serialize};
 
-use super::names::{fold_names, join_name};
+use super::names::{fold_names, join_name, split_name};
 use crate::state::records::{MachineSlot, Ranges, Resources, ZoneShard};
 
 // --- a zone shard ------------------------------------------------------------------
@@ -48,6 +48,41 @@
     Some(format!("{{\"m\":{}}}", serde_json::to_string(&slots).ok()?))
 }
 
+/// The punctuation and figures of a class of machines, of its names' prefix, and of
+/// one name.
+const CLASS_BYTES: usize = 40;
+
+/// What the figures of unbooked tasks take beside the machine's name.
+const UNBOOKED_BYTES: usize = 60;
+
+/// The most bytes that one more machine may add to a zone shard's compact encoding, even
+/// if it is the first of its class and every character of its names is quoted.
+pub fn slot_bytes_bound(machine: &str, kind: &str) -> usize {
+    (machine.len() + kind.len()) * 2 + CLASS_BYTES
+}
+
+/// The most bytes that a zone shard's compact encoding may come to have while machines
+/// leave it: a machine that leaves may split a range of numbers, and so make the text
+/// longer. Here each number stands by itself.
+pub fn zone_shard_bytes_bound(shard: &ZoneShard) -> usize {
+    let mut classes: BTreeSet<(&str, bool, &str, usize)> = BTreeSet::new();
+    let mut bytes = 0;
+    for (name, slot) in &shard.machines {
+        let (prefix, width, number) = split_name(name);
+        bytes += match width {
+            0 => name.len() * 2,
+            _ => number.checked_ilog10().unwrap_or(0) as usize + 2,
+        };
+        if !slot.unbooked.is_empty() {
+            bytes += name.len() * 2 + UNBOOKED_BYTES;
+        }
+        classes.insert((&slot.kind, slot.spot, prefix, width));
+    }
+    let classes = classes.iter();
+    let classes = classes.map(|(kind, _, prefix, _)| slot_bytes_bound(prefix, kind));
+    bytes + classes.sum::<usize>()
+}
+
 /// Whether a zone shard's record is in the compact encoding: a list, where the longer one
 /// has names.
 pub fn is_compact_zone_shard(text: &str) -> bool {
--- a/src/state/replica/writes.rs
+++ b/src/state/replica/writes.rs
@@ -4,6 +4,7 @@
 
 use super::Replica;
 use super::index::is_long;
+use crate::state::encoding::zone_shard_bytes_bound;
 use crate::state::keys::{job_key, machine_shard_key, zone_shard_key};
 use crate::state::record_trim::{self, TrimContext};
 use crate::state::records::{
@@ -11,6 +12,9 @@
 };
 use crate::wire::Write;
 
+/// Fewer machines than these never fill a zone shard's record.
+const FEW_MACHINES: usize = 8;
+
 impl Replica {
     /// Whether records are written in their compact encodings: all controllers read
     /// them, and the limits are to fall. Otherwise they stand as ever.
@@ -18,13 +22,26 @@
         self.compact_limit.is_some() && self.upgraded()
     }
 
-    /// Whether a zone shard's compact encoding is within what a record may hold, with some
-    /// to spare for what unbooked tasks take.
+    /// Whether a zone shard's compact encoding stays within what a record may hold,
+    /// whichever machines leave it, with some to spare for what unbooked tasks take.
     pub fn fits_zone_shard(&self, shard: &ZoneShard) -> bool {
+        let machines = shard.machines.len();
+        machines < FEW_MACHINES
+            || self.fits_zone_shard_bytes(machines, zone_shard_bytes_bound(shard))
+    }
+
+    /// The same of a zone shard with so many machines, whose compact encoding may come
+    /// to have so many bytes.
+    pub fn fits_zone_shard_bytes(&self, machines: usize, bytes: usize) -> bool {
         let most = self.compact_limit.unwrap_or(usize::MAX) / 10 * 9;
-        // Few machines never fill a record.
-        let short = || crate::state::encoding::encode_zone_shard(shard).map_or(0, |t| t.len());
-        shard.machines.len() < 8 || short() <= most
+        machines < FEW_MACHINES || bytes <= most
+    }
+
+    /// Whether a zone shard's compact encoding may exceed the coming limit once machines
+    /// leave it: then they could not leave it any more.
+    pub fn may_outgrow_record(&self, shard: &ZoneShard) -> bool {
+        let limit = self.compact_limit.unwrap_or(usize::MAX);
+        shard.machines.len() >= FEW_MACHINES && zone_shard_bytes_bound(shard) > limit
     }
 
     /// Whether a job's record, as it will be written, is within `most` bytes.
--- a/src/workers/publication.rs
+++ b/src/workers/publication.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::WorkerSession;
-use super::zone_shards::{Conditions, ShardEdit, choose_shard};
+use super::zone_shards::{Conditions, ShardChooser, ShardEdit, ShardLengths};
 use crate::node::{Node, guard};
 use crate::scheduler::{COMMIT_BYTES, GUARDS_PER_WRITE};
 use crate::state::budget::RequestClass;
@@ -187,6 +187,7 @@
     /// The keys of these conditions, by part.
     condition_keys: BTreeMap<String, BTreeSet<String>>,
     edits: BTreeMap<String, ShardEdit>,
+    lengths: ShardLengths,
 }
 
 impl<'a> RoomPlanner<'a> {
@@ -207,6 +208,7 @@
             conditions: Conditions::new(),
             condition_keys: BTreeMap::new(),
             edits: BTreeMap::new(),
+            lengths: ShardLengths::default(),
         }
     }
 
@@ -271,7 +273,7 @@
         if same {
             return;
         }
-        let Some(shard) = self.zone_shard_of(id, machine, slot.as_ref()) else {
+        let Some(shard) = self.zone_shard_of(id, machine) else {
             return;
         };
         // A machine that joins does not wait for the interval.
@@ -285,17 +287,20 @@
     }
 
     /// The zone shard that the machine stands in, or is put into.
-    fn zone_shard_of(
-        &mut self,
-        id: &str,
-        machine: &Machine,
-        slot: Option<&MachineSlot>,
-    ) -> Option<String> {
+    fn zone_shard_of(&mut self, id: &str, machine: &Machine) -> Option<String> {
         if let Some(shard) = self.replica.zone_shard_of(id) {
             return Some(shard.to_string());
         }
-        let choice = choose_shard(self.replica, &self.edits, id, machine, slot)?;
-        if self.conditions.len() + choice.conditions.len() > self.most_guards {
+        let chooser = ShardChooser {
+            replica: self.replica,
+            edits: &self.edits,
+            lengths: &self.lengths,
+            first_candidates: self.node.settings.txn_ops(),
+        };
+        let choice = chooser.choose(id, machine)?;
+        let added = choice.conditions.keys();
+        let added = added.filter(|key| !self.conditions.contains_key(*key));
+        if self.conditions.len() + added.count() > self.most_guards {
             return None;
         }
         for (key, version) in choice.conditions {
@@ -308,6 +313,7 @@
 
     fn edit(&mut self, shard: String, id: &str, slot: Option<MachineSlot>, members: bool) {
         let replica = self.replica;
+        self.lengths.forget(&shard);
         let edit = self
             .edits
             .entry(shard)
--- a/tests/fleet/four_thousand.rs
+++ b/tests/fleet/four_thousand.rs
@@ -10,7 +10,7 @@
 use shelfhoist::state::records::{MachineShard, ZoneShard};
 use tokio::time::{Instant, sleep};
 
-use crate::stand_ins::{Shape, World, in_world, job};
+use crate::stand_ins::{Shape, StateLimits, World, in_world, job};
 
 const MACHINES: usize = 4000;
 
@@ -164,12 +164,20 @@
 }
 
 fn goes_through(shape: Shape) {
+    goes_through_with_limits(shape, None);
+}
+
+/// The same, with limits that come into force once all machines have taken part.
+fn goes_through_with_limits(shape: Shape, falls_to: Option<StateLimits>) {
     in_world(|| async move {
         let lease_s = shape.lease_s;
         let lease = Duration::from_secs_f64(lease_s);
         let controllers = shape.controllers;
         let world = World::of(31, shape).await;
         all_take_part(&world, lease_s * 3.0, "a start").await;
+        if let Some(limits) = falls_to {
+            world.state.limits.set(limits);
+        }
         let ids = all_work(&world, 1, lease_s * 6.0, "a start").await;
         assert_eq!(world.lapsed(), 0, "leases ran out at the start");
 
@@ -237,3 +245,21 @@
         machine_zones: vec!["a"],
     }));
 }
+
+/// All machines have one home, in the smallest records and commits that the protocol's
+/// page names: 2 KiB and four writes.
+#[test]
+fn four_thousand_machines_of_one_home_when_the_limits_fall() {
+    let mut shape = yard(Layout {
+        locations: vec!["a", "b", "c", "b", "c"],
+        machine_zones: vec!["a"],
+    });
+    shape.state["next"] = json!({"value_kb": 2.0, "txn_ops": 4, "write_rps": 30.0});
+    let fallen = StateLimits {
+        txn_ops: 4,
+        value_bytes: 2048,
+        write_rps: 30.0,
+        rps: 150.0,
+    };
+    goes_through_with_limits(shape, Some(fallen));
+}
