Shards: properties of groups and bounds; sizes in a module of their own; names set right

Need: the argument that a new machine comes into one shard, and that machines can always leave a zone shard, is to be tested as such. Change: property tests (proptest) of groups and of the bound, tables of two controllers on different views; what a machine shard may hold in its own module; a search of all rentals for each listed machine is an index; variables that a renaming had left with a wrong name.

--- a/src/cloud/list.rs
+++ b/src/cloud/list.rs
@@ -1,6 +1,7 @@
 //! The cloud's list of machines, compared with the records: adopts those that
 //! nobody knows, gives up those that have failed.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -98,6 +99,10 @@
         .rentals
         .values()
         .any(|entry| entry.value.machines.is_empty());
+    let rentals = replica.rentals.values();
+    let rented: HashSet<&str> = rentals
+        .flat_map(|entry| entry.value.machines.iter().map(String::as_str))
+        .collect();
     let mut differences = Differences::default();
     for machine in listed {
         let has_failed = machine.stage == ListedStage::Failed;
@@ -107,7 +112,7 @@
             }
         } else if fleet.gone.contains_key(&machine.id) {
             // A late list.
-        } else if rental_of(replica, &machine.id).is_some() {
+        } else if rented.contains(machine.id.as_str()) {
             if has_failed {
                 differences
                     .new
--- a/src/cloud/rentals.rs
+++ b/src/cloud/rentals.rs
@@ -96,8 +96,8 @@
     let Some(response) = request_rental(node, id, version, &rental).await else {
         return;
     };
-    let uses_compact_encoding = take_answer(node, &mut rental, &response);
-    note_capacity(node, &rental, uses_compact_encoding);
+    let fell_short = take_answer(node, &mut rental, &response);
+    note_capacity(node, &rental, fell_short);
     let key = rental_key(id);
     let guards = vec![guard(key.clone(), version)];
     let write = match rental.machines.is_empty() {
@@ -132,11 +132,11 @@
 /// Takes the machines that the cloud has delivered into the rental; whether
 /// they are fewer than was asked for.
 fn take_answer(node: &Node, rental: &mut Rental, response: &Response) -> bool {
-    let mut uses_compact_encoding = true;
+    let mut fell_short = true;
     if response.status == 200
         && let Ok(names) = response.parse::<MachineNames>()
     {
-        uses_compact_encoding = (names.machines.len() as u32) < rental.count;
+        fell_short = (names.machines.len() as u32) < rental.count;
         let replica = node.replica.borrow();
         // The workers of some may have been quicker than the answer.
         rental.machines = names.machines;
@@ -144,7 +144,7 @@
             .machines
             .retain(|id| !replica.machines.contains_key(id));
     }
-    if uses_compact_encoding {
+    if fell_short {
         tracing::info!(
             kind = rental.kind,
             zone = rental.zone,
@@ -154,14 +154,14 @@
             "no capacity"
         );
     }
-    uses_compact_encoding
+    fell_short
 }
 
 /// Notes whether the cloud had capacity for the rental's offer.
-fn note_capacity(node: &Node, rental: &Rental, uses_compact_encoding: bool) {
+fn note_capacity(node: &Node, rental: &Rental, fell_short: bool) {
     let offer = Offer::of_rental(rental);
     let mut fleet = node.fleet.borrow_mut();
-    if uses_compact_encoding {
+    if fell_short {
         let pause = Duration::from_secs_f64(node.settings.deployment.cloud.list_lag_s);
         fleet.note_refusal(offer, pause, Instant::now());
     } else {
--- a/src/scheduler/machine_shards.rs
+++ b/src/scheduler/machine_shards.rs
@@ -3,13 +3,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::machine_shard_limits::{MemberSizes, guard_limit, shard_limit};
 use super::shard_allocation::{Candidates, max_group, numbered_id, uses_groups};
 use super::transaction::{COMMIT_BYTES, GUARDS_PER_WRITE};
 use crate::node::guard;
 use crate::settings::Settings;
 use crate::state::encoding;
 use crate::state::keys::{machine_shard_key, shard_id};
-use crate::state::records::{Machine, MachineShard, machine_entry_bytes, slot_entry_bytes};
+use crate::state::records::{Machine, MachineShard, machine_entry_bytes};
 use crate::state::replica::Replica;
 use crate::wire::{Guard, Write};
 
@@ -20,7 +21,7 @@
 pub struct MachineShardEdits<'a> {
     replica: &'a Replica,
     edited: BTreeMap<String, MachineShard>,
-    /// Groups that must be as they are, too.
+    /// The ids of shards that must be as they are, too.
     guarded: BTreeSet<String>,
 }
 
@@ -241,59 +242,6 @@
     }
 }
 
-/// The most conditions of a commit that adds machines. Each of its records may be
-/// split besides, which adds one more. Before shards are used in groups, all
-/// of a home's are conditions, and the limits in force are the present ones.
-fn guard_limit(settings: &Settings, grouped: bool) -> usize {
-    match grouped {
-        true => settings.txn_ops() * (GUARDS_PER_WRITE - 1),
-        false => settings.deployment.state.txn_ops * GUARDS_PER_WRITE,
-    }
-}
-
-/// How long the records of a home's shard of this number may become. Each zone shard is a
-/// condition for the next: behind a few, those that wait for the compact encoding are as
-/// long as records may be until then.
-fn shard_limit(settings: &Settings, short: bool, number: usize) -> usize {
-    let limit = match short || number < settings.txn_ops() {
-        true => settings.value_bytes(),
-        false => settings.longest_value(),
-    };
-    limit * 9 / 10
-}
-
-/// Estimates of what machines take in the records of their part.
-struct MemberSizes {
-    /// The records are written as compact encodings.
-    short: bool,
-    /// The length of the longest name of a controller.
-    longest_name: usize,
-}
-
-impl MemberSizes {
-    /// What a machine of this name and kind takes. In the compact encoding the machines'
-    /// slots stand in few zone shards by themselves, so that the machine shard alone counts.
-    fn member(&self, name: &str, kind: &str) -> usize {
-        match self.short {
-            true => encoding::member_bytes(name, kind, self.longest_name),
-            false => {
-                slot_entry_bytes(name, kind).max(machine_entry_bytes(name, kind, self.longest_name))
-            }
-        }
-    }
-
-    /// What all machines of a machine shard take.
-    fn machine_shard(&self, machine_shard: &MachineShard) -> usize {
-        if self.short {
-            return encoding::machine_shard_bytes(&machine_shard.machines, self.longest_name);
-        }
-        let machines = machine_shard.machines.iter();
-        machines
-            .map(|(name, machine)| self.member(name, &machine.kind))
-            .sum()
-    }
-}
-
 /// Takes the second half of a machine shard's machines out of it, for a machine shard of this id.
 fn second_half(machine_shard: &mut MachineShard, id: &str) -> MachineShard {
     let (zone, shard) = id.split_once('/').unwrap_or((id, ""));
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -20,6 +20,7 @@
 mod ends;
 mod fit;
 mod job_facts;
+mod machine_shard_limits;
 mod machine_shards;
 mod ownership;
 mod plan;
--- a/src/state/compaction.rs
+++ b/src/state/compaction.rs
@@ -66,8 +66,8 @@
     home == node.name() || (node.is_renter() && !replica.nodes.contains_key(home))
 }
 
-/// Parts come by turns with the rounds: until they are few a gang may have its
-/// places in more of them than a commit writes. The rest stands behind.
+/// Zone shards come by turns with the rounds: until they are few a gang may have its
+/// places in more of them than a commit writes. The rest comes last.
 fn step(node: &Node, left: &HashMap<String, Instant>) -> Option<(RequestClass, Step)> {
     let replica = node.replica.borrow();
     let tended = |id: &str| {
@@ -149,7 +149,7 @@
     Some((guards.to_vec(), writes))
 }
 
-/// Empties a part of a home into the first that takes all of it. Both are
+/// Empties a zone shard of a home into the first that takes all of it. Both are
 /// written under guard, so each machine stands in one of them throughout.
 pub fn merge(
     replica: &Replica,
--- a/src/workers/publication.rs
+++ b/src/workers/publication.rs
@@ -141,7 +141,7 @@
     guards: Vec<Guard>,
 }
 
-/// Parts of the zones' records that differ from what this controller knows of
+/// Zone shards whose records differ from what this controller knows of
 /// the machines that it holds; as many as one commit takes.
 fn room_changes(node: &Node, recent: &Published) -> Vec<RoomChange> {
     let now = node.liveness_tick();
@@ -180,11 +180,11 @@
     replica: &'a Replica,
     suspects: HashSet<String>,
     now: Instant,
-    most_shards: usize,
-    most_guards: usize,
+    max_shards: usize,
+    max_guards: usize,
     /// What the slots that are put somewhere depend on.
     conditions: Conditions,
-    /// The keys of these conditions, by part.
+    /// The keys of these conditions, by zone shard.
     condition_keys: BTreeMap<String, BTreeSet<String>>,
     edits: BTreeMap<String, ShardEdit>,
     lengths: ShardLengths,
@@ -197,14 +197,14 @@
             true => node.settings.value_bytes(),
             false => node.settings.longest_value(),
         };
-        let most_shards = node.settings.txn_ops().min((COMMIT_BYTES / longest).max(1));
+        let max_shards = node.settings.txn_ops().min((COMMIT_BYTES / longest).max(1));
         RoomPlanner {
             node,
             replica,
             suspects,
             now,
-            most_shards,
-            most_guards: most_shards * (GUARDS_PER_WRITE - 1),
+            max_shards,
+            max_guards: max_shards * (GUARDS_PER_WRITE - 1),
             conditions: Conditions::new(),
             condition_keys: BTreeMap::new(),
             edits: BTreeMap::new(),
@@ -278,7 +278,7 @@
         };
         // A machine that joins does not wait for the interval.
         let joins = known.is_none();
-        let full = self.edits.len() == self.most_shards && !self.edits.contains_key(&shard);
+        let full = self.edits.len() == self.max_shards && !self.edits.contains_key(&shard);
         if full || (recent.contains_key(&shard) && !joins) {
             return;
         }
@@ -300,7 +300,7 @@
         let choice = chooser.choose(id, machine)?;
         let added = choice.conditions.keys();
         let added = added.filter(|key| !self.conditions.contains_key(*key));
-        if self.conditions.len() + added.count() > self.most_guards {
+        if self.conditions.len() + added.count() > self.max_guards {
             return None;
         }
         for (key, version) in choice.conditions {
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -7,4 +7,5 @@
 mod requests;
 mod scheduling;
 mod setup;
+mod shards;
 mod workers;
