--- a/src/state/records/resources.rs
+++ b/crates/resources/src/lib.rs
@@ -1,11 +1,12 @@
 //! Processors, accelerators and memory in whole thousandths.
 
+#![warn(missing_docs)]
+
+use std::iter::Sum;
 use std::ops::{Add, AddAssign, Sub, SubAssign};
 
 use serde::{Deserialize, Serialize};
 
-use crate::wire::MachineType;
-
 /// A thousandth of a unit. Whole numbers, so that every controller adds up to
 /// the same figure.
 #[derive(
@@ -44,15 +45,6 @@
 }
 
 impl Resources {
-    /// All that a machine of this type has.
-    pub fn of_type(t: &MachineType) -> Self {
-        Resources {
-            cpus: Amount::room(t.cpus),
-            gpus: Amount::room(t.gpus),
-            ram: Amount::room(t.memory_gb),
-        }
-    }
-
     /// Whether it is nothing at all.
     pub fn is_empty(&self) -> bool {
         *self == Resources::default()
@@ -77,6 +69,29 @@
         }
     }
 
+    /// The smaller of the two in each dimension.
+    pub fn min(&self, other: &Resources) -> Resources {
+        self.combine(other, i64::min)
+    }
+
+    /// The larger of the two in each dimension.
+    pub fn max(&self, other: &Resources) -> Resources {
+        self.combine(other, i64::max)
+    }
+
+    /// What is above nothing in each dimension.
+    pub fn positive(&self) -> Resources {
+        self.max(&Resources::default())
+    }
+
+    fn combine(&self, other: &Resources, of: impl Fn(i64, i64) -> i64) -> Resources {
+        Resources {
+            cpus: Amount(of(self.cpus.0, other.cpus.0)),
+            gpus: Amount(of(self.gpus.0, other.gpus.0)),
+            ram: Amount(of(self.ram.0, other.ram.0)),
+        }
+    }
+
     /// How many tasks of `need` fit at once.
     pub fn slots(&self, need: &Resources) -> usize {
         let part = |have: Amount, want: Amount| {
@@ -125,3 +140,9 @@
         *self = *self - o;
     }
 }
+
+impl Sum for Resources {
+    fn sum<I: Iterator<Item = Resources>>(parts: I) -> Resources {
+        parts.fold(Resources::default(), Add::add)
+    }
+}
--- /dev/null
+++ b/crates/shares/src/booking.rs
@@ -0,0 +1,177 @@
+//! Room for a booking: of the share itself, else from the team's other shares, else
+//! from the pool, else from what other teams' shares have free.
+
+use std::cmp::Reverse;
+
+use resources::Resources;
+
+use crate::change::{Change, Draft};
+use crate::ledger::Ledger;
+use crate::names::{ControllerName, TeamName};
+use crate::transfer::balance;
+
+/// Why a booking gets no room.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Shortage {
+    /// The team's bookings do not count against shares.
+    #[error("{0} has no shares")]
+    NoShares(TeamName),
+    /// The team would exceed its limit.
+    #[error("{0} would exceed its limit")]
+    Limit(TeamName),
+    /// All machines on record together have not as much.
+    #[error("the machines on record have no room for it")]
+    Machines,
+    /// One commit cannot take back enough of what other teams have free: this is to be
+    /// committed first, and the rest follows.
+    #[error("other teams have to give room back first")]
+    Partial(Box<Change>),
+}
+
+/// A share that grows from the pool takes so many times what it lacks where the pool
+/// has as much, as each growth writes the pool.
+const GROWTH: i64 = 4;
+
+/// The room that a booking needs in a controller's share, with all that has to be
+/// written for it beside the booking itself. What it reads is part of the change: the
+/// booking writes the record of use, and is guarded by the split. The change writes at
+/// most `max_writes` records, of which there have to be three.
+pub fn reserve(
+    ledger: &Ledger,
+    team: &TeamName,
+    controller: &ControllerName,
+    need: Resources,
+    max_writes: usize,
+) -> Result<Change, Shortage> {
+    let mut draft = Draft::new(ledger);
+    if draft.share(team).is_none() {
+        return Err(Shortage::NoShares(team.clone()));
+    }
+    draft.read_share(team);
+    pull_from_siblings(&mut draft, team, controller, need);
+    let lacking = lacking(&draft, team, controller, need);
+    if lacking.is_empty() {
+        return Ok(draft.finish());
+    }
+    // The split of the team itself and the pool are written anyway.
+    let max_others = max_writes.saturating_sub(2);
+    match grow(&mut draft, ledger, team, controller, lacking, max_others) {
+        Ok(()) => Ok(draft.finish()),
+        Err(Shortage::Machines) if draft.shrunk(team) >= max_others.max(1) => {
+            Err(Shortage::Partial(Box::new(draft.finish())))
+        }
+        Err(shortage) => Err(shortage),
+    }
+}
+
+/// What a share has too little of for a need.
+fn lacking(
+    draft: &Draft,
+    team: &TeamName,
+    controller: &ControllerName,
+    need: Resources,
+) -> Resources {
+    (need - draft.free(team, controller.as_str())).positive()
+}
+
+/// Takes what is lacking out of the free room of the team's other shares, the largest
+/// first.
+fn pull_from_siblings(
+    draft: &mut Draft,
+    team: &TeamName,
+    controller: &ControllerName,
+    need: Resources,
+) {
+    let siblings = draft.share(team).map(|share| share.controllers());
+    let mut siblings: Vec<ControllerName> = siblings.unwrap_or_default();
+    siblings.retain(|name| name != controller);
+    siblings.sort_by_key(|name| Reverse(draft.free(team, name.as_str()).cpus));
+    for sibling in siblings {
+        let free = draft.free(team, sibling.as_str()).positive();
+        let part = lacking(draft, team, controller, need).min(&free);
+        if part.is_empty() {
+            continue;
+        }
+        draft.read_use(team, &sibling);
+        if let Some(share) = draft.edit_share(team) {
+            share.add_granted(&sibling, Resources::default() - part);
+            share.add_granted(controller, part);
+            balance(share);
+        }
+    }
+}
+
+/// Grows a share by what it lacks, from the pool and from other teams' free room.
+fn grow(
+    draft: &mut Draft,
+    ledger: &Ledger,
+    team: &TeamName,
+    controller: &ControllerName,
+    lacking: Resources,
+    max_others: usize,
+) -> Result<(), Shortage> {
+    let limit = ledger.teams.get(team).map(|account| account.limit);
+    let total = draft.share(team).map(|share| share.total());
+    let below_limit = limit.unwrap_or_default().beside(total.unwrap_or_default());
+    if !below_limit.fits(&lacking) {
+        return Err(Shortage::Limit(team.clone()));
+    }
+    let mut pool = draft.pool().unwrap_or_default();
+    // It rises late: the machines that have come since count from now on.
+    pool.capacity = pool.capacity.max(&ledger.staying);
+    draft.set_pool(pool);
+    if !pool.free().fits(&lacking) {
+        shrink_others(draft, ledger, team, lacking, max_others);
+    }
+    let Some(mut pool) = draft.pool().filter(|pool| pool.free().fits(&lacking)) else {
+        return Err(Shortage::Machines);
+    };
+    let more = lacking.scaled(GROWTH).min(&pool.free()).min(&below_limit);
+    let part = lacking.max(&more);
+    pool.granted += part;
+    draft.set_pool(pool);
+    if let Some(share) = draft.edit_share(team) {
+        share.add_granted(controller, part);
+    }
+    Ok(())
+}
+
+/// Gives free room of other teams, of so many at most, back to the pool until it has as
+/// much as is lacking.
+fn shrink_others(
+    draft: &mut Draft,
+    ledger: &Ledger,
+    team: &TeamName,
+    lacking: Resources,
+    max_others: usize,
+) {
+    for other in ledger.teams.keys().filter(|name| *name != team) {
+        let Some(pool) = draft.pool() else { return };
+        let missing = (lacking - pool.free()).positive();
+        if missing.is_empty() || draft.shrunk(team) == max_others {
+            return;
+        }
+        shrink_team(draft, other, missing);
+    }
+}
+
+/// Gives as much of a team's free room back to the pool as is asked for and there is.
+pub(crate) fn shrink_team(draft: &mut Draft, team: &TeamName, wanted: Resources) {
+    let controllers = draft.share(team).map(|share| share.controllers());
+    let mut missing = wanted;
+    for controller in controllers.unwrap_or_default() {
+        let free = draft.free(team, controller.as_str()).positive();
+        let part = missing.min(&free);
+        let Some(mut pool) = draft.pool().filter(|_| !part.is_empty()) else {
+            continue;
+        };
+        draft.read_use(team, &controller);
+        if let Some(share) = draft.edit_share(team) {
+            share.add_granted(&controller, Resources::default() - part);
+            balance(share);
+        }
+        pool.granted -= part;
+        draft.set_pool(pool);
+        missing -= part;
+    }
+}
--- a/src/api/validation.rs
+++ b/src/api/validation.rs
@@ -4,7 +4,7 @@
 
 use crate::scheduler;
 use crate::settings::{Settings, TeamTerms};
-use crate::state::records::{JobStatus, Resources, Spec, is_job_id};
+use crate::state::records::{JobStatus, Spec, is_job_id};
 use crate::state::replica::Replica;
 use crate::wire::{Kind, Submission};
 
@@ -154,7 +154,7 @@
     }
     let zones: BTreeSet<&str> = types
         .iter()
-        .filter(|t| spec.allows_type(&t.name) && Resources::of_type(t).fits(&spec.need))
+        .filter(|t| spec.allows_type(&t.name) && t.resources().fits(&spec.need))
         .flat_map(|t| t.zones.iter().map(String::as_str))
         .filter(|z| spec.zone.as_ref().is_none_or(|only| only == z))
         .collect();
--- a/src/cloud/demand.rs
+++ b/src/cloud/demand.rs
@@ -10,7 +10,7 @@
 use crate::node::Node;
 use crate::policy::JobFacts;
 use crate::scheduler::{self, Ages, Care, Hints, Plan, WaitReason};
-use crate::state::records::{DOUBT, Job, Rental, Resources, Spec};
+use crate::state::records::{DOUBT, Job, Rental, Spec};
 use crate::state::replica::Replica;
 use crate::wire::{Kind, MachineType};
 
@@ -229,7 +229,7 @@
         demand.last_zone = Some(offer.zone.clone());
         self.rent(kind, offer);
         // The rest of an array's tasks follow one another in that room.
-        let holds_all = Resources::of_type(kind).slots(&demand.spec.need) >= wanted;
+        let holds_all = kind.resources().slots(&demand.spec.need) >= wanted;
         match demand.spec.kind == Kind::Array && holds_all {
             true => Step::Done,
             false => Step::Again,
@@ -308,7 +308,7 @@
 /// Adds the room of one machine of an offer to the plan.
 fn add_room(plan: &mut Plan, replica: &Replica, kind: &MachineType, zone: &str, spot: bool) {
     if let Some(class) = replica.find_class(&kind.name, zone, spot) {
-        plan.add(class, Resources::of_type(kind));
+        plan.add(class, kind.resources());
     }
 }
 
@@ -354,7 +354,7 @@
 /// three faulty machines in a row would be the end of a job in order.
 fn may_rent_for_doubtful(replica: &Replica, job: &Job, spec: &Spec) -> bool {
     let holds = |class: &crate::state::replica::MachineClass| {
-        let room = replica.class_type(class).map(Resources::of_type);
+        let room = replica.class_type(class).map(MachineType::resources);
         spec.allows(&class.kind, &class.zone, class.spot)
             && room.is_some_and(|room| room.fits(&spec.need))
     };
--- a/src/cloud/idle.rs
+++ b/src/cloud/idle.rs
@@ -14,7 +14,7 @@
 use crate::node::Node;
 use crate::scheduler::{self, Plan};
 use crate::settings::Settings;
-use crate::state::records::{Machine, MachineLifecycle, Resources};
+use crate::state::records::{Machine, MachineLifecycle};
 use crate::state::replica::Replica;
 use crate::wire::MachineType;
 
@@ -157,7 +157,7 @@
         if !gpu.allows(&machine.kind, &machine.zone, machine.spot) {
             return false;
         }
-        let places = Resources::of_type(kind).slots(&gpu.need);
+        let places = kind.resources().slots(&gpu.need);
         if places > 0 && self.spare < self.headroom + places {
             return true;
         }
@@ -180,7 +180,7 @@
         let spec = job.spec.as_ref().filter(|_| job.is_open());
         !replica.is_needed(id)
             && spec.is_some_and(|spec| {
-                let slots = Resources::of_type(kind).slots(&spec.need).max(1) as f64;
+                let slots = kind.resources().slots(&spec.need).max(1) as f64;
                 let max_price = cheapest_place(replica, spec) * MAX_FILLER_PRICE_RATIO;
                 scheduler::is_opportunistic(spec, settings)
                     && price_of(kind, spot) / slots > max_price
--- a/src/cloud/offers.rs
+++ b/src/cloud/offers.rs
@@ -8,7 +8,7 @@
 use super::state::FleetState;
 use crate::policy::MachineFacts;
 use crate::scheduler::Care;
-use crate::state::records::{Rental, Resources, Spec};
+use crate::state::records::{Rental, Spec};
 use crate::state::replica::Replica;
 use crate::wire::{Kind, MachineType};
 
@@ -129,7 +129,7 @@
         let max_price = cheapest_place(self.replica, spec) * bounds.max_price_ratio;
         let mut best: Option<(f64, &MachineType, Offer)> = None;
         for kind in &self.replica.types.value.types {
-            let slots = Resources::of_type(kind).slots(&spec.need);
+            let slots = kind.resources().slots(&spec.need);
             if slots == 0 || !spec.allows_type(&kind.name) {
                 continue;
             }
@@ -197,7 +197,7 @@
 pub(super) fn cheapest_place(replica: &Replica, spec: &Spec) -> f64 {
     let mut least = f64::INFINITY;
     for kind in &replica.types.value.types {
-        let slots = Resources::of_type(kind).slots(&spec.need);
+        let slots = kind.resources().slots(&spec.need);
         if slots > 0 && spec.allows_type(&kind.name) {
             least = least.min(price_of(kind, spec.spot) / slots as f64);
         }
--- a/src/scheduler/transaction.rs
+++ b/src/scheduler/transaction.rs
@@ -11,7 +11,7 @@
 use crate::state::keys::{job_key, machine_shard_key, shard_id, team_key, zone_shard_key};
 use crate::state::records::{Job, MachineLifecycle, Resources, Spec, Team, ZoneShard};
 use crate::state::replica::Replica;
-use crate::wire::{Guard, Kind, Write};
+use crate::wire::{Guard, Kind, MachineType, Write};
 use crate::workers::{AttemptKey, TerminationEvidence};
 
 /// How many conditions a commit may have for each write that it may have, by the
@@ -168,7 +168,7 @@
             for (machine, slot) in &mut shard.machines {
                 let room = replica
                     .type_of(&slot.kind)
-                    .map_or(Resources::default(), Resources::of_type);
+                    .map_or(Resources::default(), MachineType::resources);
                 let ended = released.get(machine).copied().unwrap_or_default();
                 slot.free = room - replica.booked_on(machine) - slot.unbooked + ended;
             }
--- a/src/state/record_trim.rs
+++ b/src/state/record_trim.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeSet;
 
 use crate::hash::fnv1a;
-use crate::state::records::{Job, Ranges, Resources, Spec};
+use crate::state::records::{Job, Ranges, Spec};
 use crate::wire::MachineType;
 
 /// What trimming goes by, beside the job itself.
@@ -85,7 +85,7 @@
     let usable = |machine_type: &&MachineType| {
         let mut zones = machine_type.zones.iter();
         spec.allows_type(&machine_type.name)
-            && Resources::of_type(machine_type).fits(&spec.need)
+            && machine_type.resources().fits(&spec.need)
             && zones.any(|zone| spec.zone.as_ref().is_none_or(|only| only == zone))
     };
     let offered = context.machine_types.iter().filter(usable);
--- a/src/state/records/job.rs
+++ b/src/state/records/job.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use resources::Resources;
 use serde::{Deserialize, Serialize};
 
 use super::ranges::Ranges;
-use super::resources::Resources;
 use super::spec::Spec;
 
 /// Tasks of one attempt booked on one machine.
--- a/src/state/records/machine.rs
+++ b/src/state/records/machine.rs
@@ -2,11 +2,22 @@
 
 use std::collections::BTreeMap;
 
+use resources::{Amount, Resources};
 use serde::{Deserialize, Serialize};
 
-use super::resources::Resources;
 use crate::wire::MachineType;
 
+impl MachineType {
+    /// All that a machine of this type has.
+    pub fn resources(&self) -> Resources {
+        Resources {
+            cpus: Amount::room(self.cpus),
+            gpus: Amount::room(self.gpus),
+            ram: Amount::room(self.memory_gb),
+        }
+    }
+}
+
 /// A machine that takes work, as its zone shard lists it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineSlot {
--- a/src/state/records/mod.rs
+++ b/src/state/records/mod.rs
@@ -7,7 +7,6 @@
 mod job;
 mod machine;
 mod ranges;
-mod resources;
 mod spec;
 
 pub use controller::{ControllerRecord, FORMATS, FORMATS_COMPACT, FORMATS_GROUPED_SHARDS, Formats};
--- a/src/state/records/spec.rs
+++ b/src/state/records/spec.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashSet;
 
+use resources::{Amount, Resources};
 use serde::{Deserialize, Serialize};
 
-use super::resources::{Amount, Resources};
 use crate::wire::{Kind, Priority, Submission};
 
 /// The part of a submission that placing needs, kept with the job.
--- a/src/state/replica/queries.rs
+++ b/src/state/replica/queries.rs
@@ -7,6 +7,7 @@
 use super::{Entry, MachineClass, PlanSlot, Replica};
 use crate::state::keys::{machine_shard_key, team_key, zone_shard_key};
 use crate::state::records::{Job, MachineSlot, Resources};
+use crate::wire::MachineType;
 
 impl Replica {
     /// The version of a machine shard's record, 0 if there is none.
@@ -67,7 +68,7 @@
     pub fn with_free_resources(&self, spot: &PlanSlot) -> PlanSlot {
         let kind = self.class_type(&self.classes[spot.class as usize]);
         let booked = self.booked.get(&spot.machine).copied().unwrap_or_default();
-        let room = kind.map_or(Resources::default(), Resources::of_type);
+        let room = kind.map_or(Resources::default(), MachineType::resources);
         PlanSlot {
             free: room - booked - spot.free,
             ..*spot
--- a/src/workers/publication.rs
+++ b/src/workers/publication.rs
@@ -225,7 +225,7 @@
         Listing::Takes(MachineSlot {
             kind: machine.kind.clone(),
             spot: machine.spot,
-            free: Resources::of_type(kind) - self.replica.booked_on(id) - unbooked,
+            free: kind.resources() - self.replica.booked_on(id) - unbooked,
             unbooked,
         })
     }
--- a/tests/record_trim.rs
+++ b/tests/record_trim.rs
@@ -214,7 +214,7 @@
                     });
                     zones.collect::<Vec<_>>()
                 };
-                let fits = Resources::of_type(machine_type).fits(&spec(&job).need);
+                let fits = machine_type.resources().fits(&spec(&job).need);
                 if fits {
                     assert_eq!(allows(&short), allows(&job), "{named:?} {zone:?}");
                 } else {
