Bookings count against shares: records, the loop that moves them, the pool

Need: each booking guards and writes the team's one record, at whichever controller; a share is to move while jobs run.

Change: share/T, use/T/C, pool and move/ID; a job names the controller whose share its bookings count against. scheduler::transaction asks one place which record a booking counts against; accounting:: makes commits of the package's changes and runs the loop. The commit that drops machine records writes the pool. Formats 4 are told only by a controller with the feature on; off, no byte changes. A job larger than what is left to move goes along once the receiver has room beyond it (found by a test that stalled).

--- a/crates/shares/src/capacity.rs
+++ b/crates/shares/src/capacity.rs
@@ -19,15 +19,17 @@
 pub struct CapacityShortage;
 
 /// The change that brings the capacity to what the machines have that stay, as far as
-/// shares have free room; `None` if there is nothing to do. A first pool is made by it.
-pub fn adjust_capacity(ledger: &Ledger) -> Option<Change> {
+/// shares have free room; `None` if there is nothing to do. A first pool is made by it. It
+/// writes at most `max_writes` records: what is left to shrink comes next.
+pub fn adjust_capacity(ledger: &Ledger, max_writes: usize) -> Option<Change> {
     let mut draft = Draft::new(ledger);
     let before = ledger.pool;
     draft.set_pool(before.unwrap_or_default());
     for team in ledger.teams.keys() {
         let granted = draft.pool().unwrap_or_default().granted;
         let excess = (granted - ledger.staying).positive();
-        if !excess.is_empty() {
+        // The pool is written, too.
+        if !excess.is_empty() && draft.written_shares() + 1 < max_writes {
             shrink_team(&mut draft, team, excess);
         }
     }
--- a/crates/shares/src/change.rs
+++ b/crates/shares/src/change.rs
@@ -110,6 +110,11 @@
         self.change.shares.get_mut(team)
     }
 
+    /// How many splits are written.
+    pub(crate) fn written_shares(&self) -> usize {
+        self.change.shares.len()
+    }
+
     /// How many splits of other teams are written.
     pub(crate) fn shrunk(&self, team: &TeamName) -> usize {
         let others = self.change.shares.keys().filter(|name| *name != team);
--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -36,4 +36,6 @@
 pub use lifecycle::{OpenError, close_team, open_team};
 pub use names::{ControllerName, JobName, TeamName};
 pub use records::{MoveRecord, MoveState, Pool, Share};
-pub use transfer::{AskError, JobBooking, Obstacle, Transfer, ask, next_transfer, obstacle};
+pub use transfer::{
+    AskError, JobBooking, Obstacle, Transfer, ask, make_room, next_transfer, obstacle,
+};
--- a/crates/shares/src/transfer.rs
+++ b/crates/shares/src/transfer.rs
@@ -7,6 +7,7 @@
 
 use resources::{Amount, Resources};
 
+use crate::booking::reserve;
 use crate::change::Change;
 use crate::ledger::{Ledger, TeamAccount};
 use crate::names::{ControllerName, JobName, TeamName};
@@ -109,6 +110,44 @@
     None
 }
 
+/// The change that gives a receiver the free room without which no job can be taken along,
+/// as the smallest one is larger than what is left to move; the next step then takes it.
+/// `None` if that is not what is in the way, or there is no such room.
+pub fn make_room(
+    ledger: &Ledger,
+    team: &TeamName,
+    jobs: &[JobBooking],
+    max_writes: usize,
+) -> Option<Change> {
+    let account = ledger.teams.get(team)?;
+    let share = account.share.as_ref()?;
+    let pending = |name: &ControllerName| share.pending_for(name.as_str());
+    let controllers = share.controllers();
+    let from = controllers
+        .iter()
+        .find(|name| pending(name) != pending(name).positive())?;
+    let owed = (Resources::default() - pending(from)).positive();
+    let to = controllers
+        .iter()
+        .find(|name| !owed.min(&pending(name).positive()).is_empty())?;
+    let left = owed.min(&pending(to).positive());
+    let smallest = jobs
+        .iter()
+        .filter(|job| job.controller == *from && !left.min(&job.booked).is_empty())
+        .min_by_key(|job| (job.booked.cpus, &job.job))?;
+    let beyond = |left: Amount, booked: Amount| match left.0 {
+        0 => Amount(0),
+        left => Amount((booked.0 - left).max(0)),
+    };
+    let needed = Resources {
+        cpus: beyond(left.cpus, smallest.booked.cpus),
+        gpus: beyond(left.gpus, smallest.booked.gpus),
+        ram: beyond(left.ram, smallest.booked.ram),
+    };
+    let change = reserve(ledger, team, to, needed, max_writes).ok()?;
+    (change.writes() > 0).then_some(change)
+}
+
 /// What may move from one share to another in one step.
 struct TransferPlan<'a> {
     from: &'a ControllerName,
--- a/crates/shares/tests/exploration.rs
+++ b/crates/shares/tests/exploration.rs
@@ -11,7 +11,7 @@
 use resources::{Amount, Resources};
 use shares::{
     Change, ControllerName, JobBooking, JobName, Ledger, TeamLimit, TeamName, adjust_capacity, ask,
-    next_transfer, open_team, release_machines, reserve,
+    make_room, next_transfer, open_team, release_machines, reserve,
 };
 
 const CONTROLLERS: [&str; 3] = ["n0", "n1", "n2"];
@@ -134,7 +134,9 @@
         }
         ledger.machines = cpus(MACHINE_CPUS * MACHINES as i64);
         ledger.staying = ledger.machines;
-        adjust_capacity(&ledger).expect("a pool").apply(&mut ledger);
+        adjust_capacity(&ledger, MAX_WRITES)
+            .expect("a pool")
+            .apply(&mut ledger);
         for team in ["t", "u"] {
             let change = open_team(&ledger, &team.into(), &"n0".into()).expect("opened");
             change.apply(&mut ledger);
@@ -197,7 +199,10 @@
             })
         });
         let bookings: Vec<JobBooking> = bookings.collect();
-        let mut transfer = next_transfer(&self.ledger, &team.into(), &bookings, 1)?;
+        let Some(mut transfer) = next_transfer(&self.ledger, &team.into(), &bookings, 1) else {
+            let room = make_room(&self.ledger, &team.into(), &bookings, MAX_WRITES)?;
+            return Some(Commit::new(room));
+        };
         if fault == Fault::GiverUnguarded {
             let giver = transfer.from.clone();
             transfer.change.read_uses.retain(|(_, name)| *name != giver);
@@ -229,7 +234,7 @@
     }
 
     fn adjust(&self) -> Option<Commit> {
-        adjust_capacity(&self.ledger).map(|change| {
+        adjust_capacity(&self.ledger, MAX_WRITES).map(|change| {
             // What the machines on record are is read with it.
             let mut commit = Commit::new(change);
             commit.guards.insert(Key::Pool);
--- a/crates/shares/tests/properties.rs
+++ b/crates/shares/tests/properties.rs
@@ -8,8 +8,8 @@
 use resources::{Amount, Resources};
 use shares::{
     AskError, ControllerName, JobBooking, JobName, Ledger, MoveRecord, MoveState, Share, Shortage,
-    TeamLimit, TeamName, adjust_capacity, ask, close_team, next_transfer, obstacle, open_team,
-    release_machines, reserve,
+    TeamLimit, TeamName, adjust_capacity, ask, close_team, make_room, next_transfer, obstacle,
+    open_team, release_machines, reserve,
 };
 
 const TEAMS: [&str; 2] = ["t", "u"];
@@ -211,7 +211,12 @@
             .filter(|(_, t)| **t == team);
         let jobs: Vec<JobBooking> = of_team.map(|(job, _)| job.clone()).collect();
         let Some(step) = next_transfer(&self.ledger, &name, &jobs, max_jobs) else {
-            return false;
+            let room = make_room(&self.ledger, &name, &jobs, MANY_WRITES);
+            let Some(change) = room.filter(|_| max_jobs > 0) else {
+                return false;
+            };
+            change.apply(&mut self.ledger);
+            return true;
         };
         assert!(step.change.reassigned.len() <= max_jobs);
         let total = self.share(team).total();
@@ -233,7 +238,7 @@
             return;
         }
         self.ledger.staying -= amount(MACHINE, 2);
-        if let Some(change) = adjust_capacity(&self.ledger) {
+        if let Some(change) = adjust_capacity(&self.ledger, MANY_WRITES) {
             change.apply(&mut self.ledger);
         }
         let pool = release_machines(&self.ledger, amount(MACHINE, 2));
@@ -247,11 +252,11 @@
     }
 
     fn adjust(&mut self) {
-        if let Some(change) = adjust_capacity(&self.ledger) {
+        if let Some(change) = adjust_capacity(&self.ledger, MANY_WRITES) {
             change.apply(&mut self.ledger);
         }
         assert_eq!(
-            adjust_capacity(&self.ledger),
+            adjust_capacity(&self.ledger, MANY_WRITES),
             None,
             "it settles in one step"
         );
@@ -277,7 +282,9 @@
         for team in TEAMS {
             ledger.teams.entry(team.into()).or_default().limit = limit;
         }
-        adjust_capacity(&ledger).expect("a pool").apply(&mut ledger);
+        adjust_capacity(&ledger, MANY_WRITES)
+            .expect("a pool")
+            .apply(&mut ledger);
         for team in TEAMS {
             let opened = open_team(&ledger, &team.into(), &CONTROLLERS[0].into());
             opened.expect("opened").apply(&mut ledger);
@@ -331,13 +338,13 @@
 
     /// What is left to move comes to an end: each step closes some of it.
     fn teardown(mut accounts: Accounts) {
-        for team in 0..TEAMS.len() {
+        for (team, name) in TEAMS.iter().enumerate() {
             let mut steps = 0;
             while accounts.transfer(team, MANY_WRITES) {
                 steps += 1;
                 assert!(steps < 100, "moves go round in circles");
             }
-            let account = &accounts.ledger.teams[TEAMS[team]];
+            let account = &accounts.ledger.teams[*name];
             let share = account.share.as_ref().expect("a split");
             let is_settled = share.settled == share.generation;
             assert_eq!(is_settled, share.pending.is_empty());
@@ -405,7 +412,9 @@
             .teams
             .insert(name.as_str().into(), Default::default());
     }
-    adjust_capacity(&ledger).expect("a pool").apply(&mut ledger);
+    adjust_capacity(&ledger, MANY_WRITES)
+        .expect("a pool")
+        .apply(&mut ledger);
     for name in &names {
         let opened = open_team(&ledger, &name.as_str().into(), &"n0".into());
         opened.expect("opened").apply(&mut ledger);
--- /dev/null
+++ b/src/accounting/commit.rs
@@ -0,0 +1,108 @@
+//! A change of the accounting as conditions and writes of a commit.
+
+use std::collections::BTreeSet;
+
+use shares::{Change, TeamName};
+
+use crate::node::{guard, put};
+use crate::state::keys::{POOL_KEY, share_key, share_use_id, share_use_key, team_key};
+use crate::state::records::{Resources, Team};
+use crate::state::replica::Replica;
+use crate::wire::{Guard, Write};
+
+/// Conditions and writes of a commit in the making; no key is guarded twice.
+pub struct CommitParts<'a> {
+    replica: &'a Replica,
+    guarded: BTreeSet<String>,
+    /// The conditions.
+    pub guards: Vec<Guard>,
+    /// The writes.
+    pub writes: Vec<Write>,
+}
+
+impl<'a> CommitParts<'a> {
+    /// Nothing yet, on what this replica has.
+    pub fn new(replica: &'a Replica) -> Self {
+        CommitParts {
+            replica,
+            guarded: BTreeSet::new(),
+            guards: Vec::new(),
+            writes: Vec::new(),
+        }
+    }
+
+    fn guard(&mut self, key: String, version: u64) {
+        if self.guarded.insert(key.clone()) {
+            self.guards.push(guard(key, version));
+        }
+    }
+
+    /// Adds the splits and the pool of a change, with all that it depends on. Jobs that
+    /// it reassigns are for [`Self::reassign_jobs`].
+    pub fn add_change(&mut self, change: &Change) {
+        for (team, share) in &change.shares {
+            self.guard_share(team);
+            self.writes.push(put(share_key(team.as_str()), share));
+        }
+        for team in &change.closed {
+            self.guard_share(team);
+            let key = share_key(team.as_str());
+            self.writes.push(Write::Delete { key });
+        }
+        if let Some(pool) = &change.pool {
+            self.guard(POOL_KEY.to_string(), self.replica.pool_version());
+            self.writes.push(put(POOL_KEY.to_string(), pool));
+        }
+        for team in &change.read_shares {
+            self.guard_share(team);
+        }
+        for (team, controller) in &change.read_uses {
+            self.guard_use(&share_use_id(team.as_str(), controller.as_str()));
+        }
+    }
+
+    fn guard_share(&mut self, team: &TeamName) {
+        let version = self.replica.share_version(team.as_str());
+        self.guard(share_key(team.as_str()), version);
+    }
+
+    fn guard_use(&mut self, id: &str) {
+        let version = self.replica.share_use_version(id);
+        self.guard(share_use_key(id), version);
+    }
+
+    /// Writes what is booked against a share.
+    pub fn put_use(&mut self, id: &str, used: Resources) {
+        self.guard_use(id);
+        self.writes.push(put(share_use_key(id), &Team { used }));
+    }
+
+    /// Writes a team's own record, as last recounted.
+    pub fn put_team(&mut self, team: &str) {
+        self.guard(team_key(team), self.replica.team_version(team));
+        let used = self.replica.team_used(team);
+        self.writes.push(put(team_key(team), &Team { used }));
+    }
+
+    /// Writes the records of the jobs whose bookings count against another share from
+    /// now on; nothing else of them changes.
+    pub fn reassign_jobs(&mut self, change: &Change) {
+        for (id, controller) in &change.reassigned {
+            let Some(entry) = self.replica.jobs.get(id.as_str()) else {
+                continue;
+            };
+            let mut job = entry.value.clone();
+            job.share = Some(controller.clone());
+            let write = self.replica.put_job(id.as_str(), &job);
+            self.guard(write.key().to_string(), entry.version);
+            self.writes.push(write);
+        }
+    }
+
+    /// Removes the pool.
+    pub fn remove_pool(&mut self) {
+        self.guard(POOL_KEY.to_string(), self.replica.pool_version());
+        let key = POOL_KEY.to_string();
+        self.writes.push(Write::Delete { key });
+    }
+}
--- /dev/null
+++ b/src/accounting/reconcile.rs
@@ -0,0 +1,272 @@
+//! The loop that closes what is left to move, keeps the pool in step with the machines,
+//! and begins and ends the accounting by shares.
+//!
+//! There is no state here: each step is decided on the replica alone, again once the
+//! budget is there, and any controller may take it. Each subject has a preferred
+//! controller among those that are up, so that they seldom meet.
+
+use std::rc::Rc;
+
+use shares::{
+    JobBooking, Ledger, TeamName, adjust_capacity, close_team, make_room, next_transfer, open_team,
+};
+use tokio::time::{Instant, sleep};
+
+use super::CommitParts;
+use crate::node::{Node, guard};
+use crate::scheduler::preferred;
+use crate::settings::Settings;
+use crate::state::budget::RequestClass;
+use crate::state::client::StoreError;
+use crate::state::keys::machine_shard_key;
+use crate::state::records::FORMATS_SHARES;
+use crate::state::replica::{Replica, fallback_controller};
+use crate::wire::{Guard, Write};
+
+/// Passes of the loop in a report interval.
+const PASSES_PER_REPORT: u32 = 4;
+
+/// One commit of this loop, and what it is for.
+pub struct Step {
+    /// What it does, for the log.
+    pub what: &'static str,
+    /// The conditions.
+    pub guards: Vec<Guard>,
+    /// The writes.
+    pub writes: Vec<Write>,
+}
+
+impl Step {
+    fn new(what: &'static str, parts: CommitParts) -> Self {
+        Step {
+            what,
+            guards: parts.guards,
+            writes: parts.writes,
+        }
+    }
+}
+
+/// Takes one step after another, as the budget allows.
+pub async fn run_shares(node: Rc<Node>) {
+    let tick = node.settings.report() / PASSES_PER_REPORT;
+    loop {
+        sleep(node.store.jitter(tick)).await;
+        while has_step(&node) {
+            if !take_step(&node).await {
+                break;
+            }
+        }
+    }
+}
+
+fn has_step(node: &Node) -> bool {
+    node.replica.borrow().loaded && node.has_state() && step_of(node).is_some()
+}
+
+/// Decides the next step once the budget is there, and commits it; false if the loop
+/// is to pause.
+async fn take_step(node: &Node) -> bool {
+    node.store.ready(RequestClass::Lifecycle, 1).await;
+    if !node.has_state() {
+        return false;
+    }
+    let Some(step) = step_of(node) else {
+        return false;
+    };
+    let committed = node
+        .commit(RequestClass::Lifecycle, step.guards, step.writes)
+        .await;
+    match committed {
+        Ok(_) => {
+            tracing::debug!(step = step.what, "shares");
+            true
+        }
+        Err(StoreError::Conflict(keys)) => {
+            tracing::debug!(step = step.what, ?keys, "shares: conflict");
+            node.expedite_watch();
+            false
+        }
+        Err(error) => {
+            // It may have happened: the replica tells after a barrier, and nothing more
+            // is decided before.
+            tracing::debug!(step = step.what, %error, "shares: not answered");
+            node.barrier(node.settings.lease() / 4).await;
+            false
+        }
+    }
+}
+
+fn step_of(node: &Node) -> Option<Step> {
+    let replica = node.replica.borrow();
+    let peers = node.peers.borrow();
+    let alive = peers.alive(node, Instant::now());
+    next_step(&replica, &node.settings, &alive)
+}
+
+/// The next step that this controller takes, with these controllers up.
+pub fn next_step(replica: &Replica, settings: &Settings, alive: &[&str]) -> Option<Step> {
+    replica.shares_since()?;
+    let is_mine =
+        |subject: &str| preferred(subject, alive.iter().copied()) == Some(settings.node.as_str());
+    let wanted = is_wanted(replica, settings);
+    if !wanted && replica.pool.is_none() {
+        return None;
+    }
+    let ledger = replica.ledger(settings);
+    let mut teams = ledger.teams.keys().filter(|team| is_mine(team.as_str()));
+    match wanted {
+        true => {
+            let opened = || pool_step(replica, settings, &ledger, is_mine("pool"));
+            teams
+                .find_map(|team| team_step(replica, settings, &ledger, team))
+                .or_else(opened)
+        }
+        false => teams
+            .find_map(|team| close_step(replica, &ledger, team))
+            .or_else(|| remove_pool_step(replica, is_mine("pool"))),
+    }
+}
+
+/// Whether every controller that is up has the feature on, this one included.
+fn is_wanted(replica: &Replica, settings: &Settings) -> bool {
+    let mut nodes = replica.nodes.values();
+    settings.features.shares && nodes.all(|entry| entry.value.formats >= FORMATS_SHARES)
+}
+
+/// The pool is made once all machine shards count, and falls as machines leave; as they
+/// come it rises with the growth of shares.
+fn pool_step(
+    replica: &Replica,
+    settings: &Settings,
+    ledger: &Ledger,
+    is_mine: bool,
+) -> Option<Step> {
+    if !is_mine {
+        return None;
+    }
+    if let Some(step) = count_machine_shards(replica, settings) {
+        return Some(step);
+    }
+    let falls = ledger
+        .pool
+        .is_none_or(|pool| !ledger.staying.fits(&pool.capacity));
+    let change = adjust_capacity(ledger, settings.txn_ops()).filter(|_| falls)?;
+    let mut parts = CommitParts::new(replica);
+    parts.add_change(&change);
+    Some(Step::new("capacity", parts))
+}
+
+/// Writes machine shards anew that were last written before every controller counted the
+/// machines that it takes off the record: from then on what was decided before fails.
+fn count_machine_shards(replica: &Replica, settings: &Settings) -> Option<Step> {
+    let uncounted = replica.machine_shards.iter();
+    let uncounted: Vec<_> = uncounted
+        .filter(|(id, _)| !replica.is_counted_shard(id))
+        .take(settings.txn_ops() / 4)
+        .collect();
+    if uncounted.is_empty() {
+        return None;
+    }
+    let mut parts = CommitParts::new(replica);
+    for (id, entry) in uncounted {
+        parts
+            .guards
+            .push(guard(machine_shard_key(id), entry.version));
+        parts
+            .writes
+            .push(replica.put_machine_shard(id, &entry.value));
+    }
+    Some(Step::new("count machines", parts))
+}
+
+/// A team's accounting by shares is begun, or what is left of its moves is closed.
+fn team_step(
+    replica: &Replica,
+    settings: &Settings,
+    ledger: &Ledger,
+    team: &TeamName,
+) -> Option<Step> {
+    if replica.is_share_unreadable(team.as_str()) {
+        return None;
+    }
+    let account = ledger.teams.get(team)?;
+    let Some(share) = &account.share else {
+        return open_step(replica, settings, ledger, team);
+    };
+    if share.pending.is_empty() {
+        return None;
+    }
+    let jobs = job_bookings(replica, team, &share.fallback);
+    // The split is written, too.
+    let max_jobs = settings.txn_ops().saturating_sub(1);
+    let mut parts = CommitParts::new(replica);
+    let Some(transfer) = next_transfer(ledger, team, &jobs, max_jobs) else {
+        let change = make_room(ledger, team, &jobs, settings.txn_ops())?;
+        parts.add_change(&change);
+        return Some(Step::new("room for a transfer", parts));
+    };
+    tracing::info!(
+        team = team.as_str(),
+        from = transfer.from.as_str(),
+        to = transfer.to.as_str(),
+        cpus = transfer.amount.cpus.units(),
+        gpus = transfer.amount.gpus.units(),
+        jobs = transfer.change.reassigned.len(),
+        "share moves"
+    );
+    parts.add_change(&transfer.change);
+    parts.reassign_jobs(&transfer.change);
+    Some(Step::new("transfer", parts))
+}
+
+fn open_step(
+    replica: &Replica,
+    settings: &Settings,
+    ledger: &Ledger,
+    team: &TeamName,
+) -> Option<Step> {
+    let change = open_team(ledger, team, &fallback_controller(settings)).ok()?;
+    let mut parts = CommitParts::new(replica);
+    parts.add_change(&change);
+    parts.put_team(team.as_str());
+    Some(Step::new("begin", parts))
+}
+
+fn close_step(replica: &Replica, ledger: &Ledger, team: &TeamName) -> Option<Step> {
+    if replica.is_share_unreadable(team.as_str()) {
+        return None;
+    }
+    let change = close_team(ledger, team)?;
+    let mut parts = CommitParts::new(replica);
+    parts.add_change(&change);
+    parts.put_team(team.as_str());
+    Some(Step::new("end", parts))
+}
+
+fn remove_pool_step(replica: &Replica, is_mine: bool) -> Option<Step> {
+    if !is_mine || replica.has_shares() {
+        return None;
+    }
+    let mut parts = CommitParts::new(replica);
+    parts.remove_pool();
+    Some(Step::new("remove the pool", parts))
+}
+
+/// What the team's jobs have booked, and whose share it counts against.
+fn job_bookings(
+    replica: &Replica,
+    team: &TeamName,
+    fallback: &shares::ControllerName,
+) -> Vec<JobBooking> {
+    let jobs = replica.jobs.iter().filter_map(|(id, entry)| {
+        let job = &entry.value;
+        let spec = job.spec.as_ref()?;
+        let booked = spec.need.times(job.booked());
+        (spec.team == team.as_str() && !job.runs.is_empty()).then(|| JobBooking {
+            job: id.as_str().into(),
+            controller: job.share.clone().unwrap_or_else(|| fallback.clone()),
+            booked,
+        })
+    });
+    jobs.collect()
+}
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -17,7 +17,8 @@
 use health::up;
 use users::{query, submit, withdraw};
 
-use crate::http::{Request, Response, ServerLimits};
+use crate::accounting;
+use crate::http::{Request, Response, ServerLimits, query_value};
 use crate::net::Listener;
 use crate::node::Node;
 use crate::ops;
@@ -58,12 +59,17 @@
         ("POST", "/submissions") => submit(node, &request.body).await,
         ("GET", "/ops/teams") => ops::teams(node),
         ("GET", "/ops/report") => ops::report(node, &request.query),
+        ("GET", "/ops/shares") => accounting::shares(node, query_value(&request.query, "team")),
+        ("GET", "/ops/shares/moves") => accounting::moves(node, query_value(&request.query, "id")),
+        ("POST", "/ops/shares/move") => accounting::move_share(node, &request.body).await,
         ("GET", path) if path.starts_with("/ops/job/") => {
             ops::job(node, path.trim_start_matches("/ops/job/"))
         }
-        (_, "/up" | REPORT_PATH | "/submissions" | "/ops/teams" | "/ops/report") => {
-            method_not_allowed()
-        }
+        (
+            _,
+            "/up" | REPORT_PATH | "/submissions" | "/ops/teams" | "/ops/report" | "/ops/shares"
+            | "/ops/shares/moves" | "/ops/shares/move",
+        ) => method_not_allowed(),
         _ => Response::error(404, "no such path"),
     }
 }
--- a/src/cloud/leases.rs
+++ b/src/cloud/leases.rs
@@ -10,7 +10,7 @@
 use crate::state::budget::RequestClass;
 use crate::state::client::StoreError;
 use crate::state::keys::{FLEET_KEY, FORMATS_KEY, node_key};
-use crate::state::records::{ControllerRecord, FORMATS};
+use crate::state::records::ControllerRecord;
 use crate::state::replica::Replica;
 use crate::wire::{Guard, Write, raw};
 
@@ -108,7 +108,7 @@
     let me = ControllerRecord {
         node: node.name().to_string(),
         incarnation: node.incarnation,
-        formats: FORMATS,
+        formats: node.settings.formats(),
     };
     let mut guards = Vec::new();
     let mut writes = Vec::new();
--- a/src/cloud/returns.rs
+++ b/src/cloud/returns.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use shares::release_machines;
 use tokio::time::Instant;
 
 use super::lifecycle::{LifeChange, set_lives};
@@ -9,8 +10,8 @@
 use crate::node::{Node, guard, put};
 use crate::scheduler::MachineShardEdits;
 use crate::state::budget::RequestClass;
-use crate::state::keys::{rental_key, shard_id};
-use crate::state::records::{MachineLifecycle, Rental};
+use crate::state::keys::{POOL_KEY, rental_key, shard_id};
+use crate::state::records::{MachineLifecycle, Rental, Resources};
 use crate::state::replica::Replica;
 use crate::wire::{Guard, MachineNames, Write};
 
@@ -96,7 +97,10 @@
 /// rental that may still list them: they would count as booting again.
 fn record_drops(node: &Node, gone: &[String]) -> (Vec<Guard>, Vec<Write>) {
     let replica = node.replica.borrow();
-    let max_writes = node.settings.txn_ops();
+    // The pool is written with them.
+    let has_pool = replica.pool.is_some();
+    let max_writes = node.settings.txn_ops() - usize::from(has_pool);
+    let mut leaving = Resources::default();
     let mut machine_shards = MachineShardEdits::new(&replica);
     let mut rentals: BTreeMap<&String, Rental> = BTreeMap::new();
     for id in gone {
@@ -118,6 +122,9 @@
         {
             continue;
         }
+        if replica.is_counted_shard(&machine_shard) {
+            leaving += replica.resources_of(&machine.kind);
+        }
         machine_shards.edit(&machine_shard).remove(id);
         if let Some((name, entry)) = rental {
             let rental = rentals.entry(name).or_insert_with(|| entry.value.clone());
@@ -133,5 +140,21 @@
             false => put(key, &rental),
         });
     }
-    (guards, writes)
+    if writes.is_empty() || replica.shares_since().is_none() {
+        return (guards, writes);
+    }
+    // Capacity falls in the commit that takes machines off the record, or before: while
+    // shares hold more than what remains, the machines stay on record.
+    let ledger = replica.ledger(&node.settings);
+    match release_machines(&ledger, leaving) {
+        Ok(pool) => {
+            guards.push(guard(POOL_KEY.to_string(), replica.pool_version()));
+            writes.extend(pool.map(|pool| put(POOL_KEY.to_string(), &pool)));
+            (guards, writes)
+        }
+        Err(shortage) => {
+            tracing::debug!(%shortage, "records of gone machines stay");
+            (Vec::new(), Vec::new())
+        }
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![warn(missing_docs)]
 
+pub mod accounting;
 pub mod api;
 pub mod cli;
 pub mod cloud;
--- a/src/node.rs
+++ b/src/node.rs
@@ -223,6 +223,7 @@
             tokio::task::spawn_local(crate::cloud::run_rentals(self.clone())),
             tokio::task::spawn_local(crate::api::run_acceptance(self.clone())),
             tokio::task::spawn_local(crate::state::compaction::run_compaction(self.clone())),
+            tokio::task::spawn_local(crate::accounting::run_shares(self.clone())),
         ];
         tracing::info!(node = self.name(), on = %self.settings.serve_on, "started");
         let _abort = AbortAll(tasks.iter().map(|t| t.abort_handle()).collect());
--- a/src/scheduler/fit.rs
+++ b/src/scheduler/fit.rs
@@ -55,7 +55,9 @@
     let slots = record_slots(
         job,
         &places,
-        settings.value_bytes(),
+        settings
+            .value_bytes()
+            .saturating_sub(replica.share_name_bytes(&spec.team)),
         replica.uses_compact_encoding(),
     );
     if slots == 0 || (spec.is_gang() && slots < places.len()) {
--- a/src/scheduler/round.rs
+++ b/src/scheduler/round.rs
@@ -15,6 +15,7 @@
 use super::round_search::RoundSearch;
 use super::round_state::RoundState;
 use super::transaction::Transaction;
+use crate::accounting::BookingAccounts;
 use crate::node::Node;
 use crate::state::records::{Job, Resources, Spec};
 use crate::state::replica::Replica;
@@ -158,7 +159,8 @@
             own: own.iter().map(String::as_str).collect(),
             alive,
             plan: starting_plan(node, replica),
-            transaction: Transaction::new(replica, records),
+            transaction: Transaction::new(replica, records)
+                .with_accounts(BookingAccounts::new(replica, &node.settings)),
             search: RoundSearch::default(),
             touched_shards: BTreeSet::new(),
             placements: Vec::new(),
--- a/src/scheduler/transaction.rs
+++ b/src/scheduler/transaction.rs
@@ -6,7 +6,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use shares::ControllerName;
+
 use super::plan::Place;
+use crate::accounting::{BookingAccounts, BookingRequest, CommitParts, Space};
 use crate::node::{guard, put};
 use crate::state::keys::{job_key, machine_shard_key, shard_id, team_key, zone_shard_key};
 use crate::state::records::{Job, MachineLifecycle, Resources, Spec, Team, ZoneShard};
@@ -54,6 +57,16 @@
     team_released: BTreeMap<String, Resources>,
     /// Groups of machines that must be as they are, but are not written.
     machine_shards: BTreeSet<String>,
+    /// What the bookings of teams count against whose room is split.
+    accounts: Option<BookingAccounts>,
+}
+
+/// Which record a booking counts against.
+enum Account {
+    /// The team's own.
+    Team,
+    /// A controller's share of the team's room.
+    Share(ControllerName),
 }
 
 impl<'a> Transaction<'a> {
@@ -68,12 +81,21 @@
             released: BTreeMap::new(),
             team_released: BTreeMap::new(),
             machine_shards: BTreeSet::new(),
+            accounts: None,
         }
     }
 
+    /// The transaction counts bookings against shares where a team's room is split; without
+    /// this it books nothing for such a team.
+    pub fn with_accounts(mut self, accounts: Option<BookingAccounts>) -> Self {
+        self.accounts = accounts;
+        self
+    }
+
     /// How many records it writes.
     pub fn len(&self) -> usize {
-        self.jobs.len() + self.teams.len() + self.zone_shards.len()
+        let accounts = self.accounts.as_ref().map_or(0, BookingAccounts::writes);
+        self.jobs.len() + self.teams.len() + self.zone_shards.len() + accounts
     }
 
     /// Whether it writes nothing.
@@ -117,6 +139,7 @@
         zone_shards: &BTreeSet<&str>,
         machines: usize,
     ) -> bool {
+        let new_account = team.is_some_and(|team| self.is_new_account(job, team));
         let new_shards = || {
             zone_shards
                 .iter()
@@ -138,11 +161,92 @@
         if self.bytes() + more_bytes > COMMIT_BYTES {
             return false;
         }
-        let new_team = team.is_some_and(|team| !self.teams.contains_key(team));
-        let new_records = usize::from(new_job) + usize::from(new_team) + new_shards().count();
+        let new_records = usize::from(new_job) + usize::from(new_account) + new_shards().count();
         self.len() + new_records <= self.most
     }
 
+    /// Which record a job's bookings count against; `None` if none may be made, as that
+    /// cannot be told.
+    fn account_of(&self, team: &str, job: &Job) -> Option<Account> {
+        if self.replica.is_share_unreadable(team) {
+            return None;
+        }
+        if self.replica.share(team).is_none() {
+            return Some(Account::Team);
+        }
+        let accounts = self.accounts.as_ref()?;
+        Some(Account::Share(accounts.share_of(team, job)))
+    }
+
+    /// Whether the record that the job's bookings count against is not written yet.
+    fn is_new_account(&self, job: &str, team: &str) -> bool {
+        let account = self.job(job).and_then(|job| self.account_of(team, job));
+        match (account, &self.accounts) {
+            (Some(Account::Share(controller)), Some(accounts)) => {
+                !accounts.has_use(team, &controller)
+            }
+            _ => !self.teams.contains_key(team),
+        }
+    }
+
+    /// How many of the places the job's account has room for; they are counted there.
+    fn admit(&mut self, id: &str, spec: &Spec, places: &[&Place]) -> usize {
+        let job = self.job(id);
+        match job.and_then(|job| self.account_of(&spec.team, job)) {
+            Some(Account::Team) => {
+                *self.edit_team(&spec.team) += spec.need.times(places.len());
+                places.len()
+            }
+            Some(Account::Share(controller)) => self.admit_to_share(id, spec, places, &controller),
+            None => 0,
+        }
+    }
+
+    fn admit_to_share(
+        &mut self,
+        id: &str,
+        spec: &Spec,
+        places: &[&Place],
+        controller: &ControllerName,
+    ) -> usize {
+        let shards: BTreeSet<&str> = places.iter().map(|place| &*place.shard).collect();
+        let new_shards = shards
+            .iter()
+            .filter(|shard| !self.zone_shards.contains_key(**shard));
+        let new_records = new_shards.count()
+            + usize::from(!self.jobs.contains_key(id))
+            + usize::from(self.is_new_account(id, &spec.team));
+        let max_writes = self.most;
+        let alone = self.space();
+        let beside = Space {
+            writes: alone.writes.saturating_sub(new_records),
+            guards: alone.guards.saturating_sub(new_records),
+        };
+        let Some(accounts) = &mut self.accounts else {
+            return 0;
+        };
+        accounts.admit(&BookingRequest {
+            team: &spec.team,
+            controller,
+            need: spec.need,
+            tasks: places.len(),
+            together: spec.is_gang(),
+            max_writes,
+            beside,
+            alone,
+        })
+    }
+
+    /// What the transaction can still take.
+    fn space(&self) -> Space {
+        let reads = self.accounts.as_ref().map_or(0, BookingAccounts::reads);
+        let guards = self.len() + self.machine_shards.len() + reads;
+        Space {
+            writes: self.most.saturating_sub(self.len()),
+            guards: (self.most * GUARDS_PER_WRITE).saturating_sub(guards),
+        }
+    }
+
     /// The job's record in this transaction, which writes it from now on.
     fn edit_job(&mut self, id: &str) -> Option<&mut Job> {
         if !self.jobs.contains_key(id) {
@@ -217,14 +321,20 @@
         if job.find(&key.machine, key.attempt, key.task).is_none() {
             return Released::Stale;
         }
+        let accounts = self.accounts.as_ref();
+        let share = accounts.map(|accounts| accounts.booked_share(&spec.team, job));
         // Neither the team's record nor the zone shard's is written: what ends is
         // known to all from the job's, and the next booking there counts it.
         let max_machine_shards = self.most * (GUARDS_PER_WRITE - 1);
-        let guards_full = self.machine_shards.len() >= max_machine_shards
+        let reads = self.accounts.as_ref().map_or(0, BookingAccounts::reads);
+        let guards_full = self.machine_shards.len() + reads >= max_machine_shards
             && !self.machine_shards.contains(&machine_shard);
         if guards_full || !self.has_room(&key.job, None, &BTreeSet::new(), 0) {
             return Released::Full;
         }
+        if let (Some(accounts), Some(share)) = (&mut self.accounts, share) {
+            accounts.release(&spec.team, &share, spec.need);
+        }
         if let Some(job) = self.edit_job(&key.job) {
             job.release(&key.machine, key.attempt, key.task, proof.outcome);
         }
@@ -291,14 +401,23 @@
         if !self.replica.is_ready(spec) {
             return 0;
         }
+        let admitted = self.admit(id, spec, &places);
+        let places = &places[..admitted];
+        if places.is_empty() {
+            return 0;
+        }
+        let share = self.share_for(id, spec);
         let Some(job) = self.edit_job(id) else {
             return 0;
         };
         if let Some(spec) = &mut job.spec {
             spec.awaits.clear();
         }
-        book(job, spec, &places);
-        for place in &places {
+        if share.is_some() {
+            job.share = share;
+        }
+        book(job, spec, places);
+        for place in places {
             if let Some(slot) = self
                 .edit_zone_shard(&place.shard)
                 .machines
@@ -307,10 +426,19 @@
                 slot.free -= spec.need;
             }
         }
-        *self.edit_team(&spec.team) += spec.need.times(places.len());
         places.len()
     }
 
+    /// The controller whose share a job names once it is booked; `None` where its name
+    /// stays as it is.
+    fn share_for(&self, id: &str, spec: &Spec) -> Option<ControllerName> {
+        let job = self.job(id)?;
+        match self.account_of(&spec.team, job)? {
+            Account::Share(controller) => Some(controller),
+            Account::Team => None,
+        }
+    }
+
     /// Whether the transaction has room for the records of these jobs alone.
     pub fn fits_jobs<'b>(&self, ids: impl Iterator<Item = &'b str>) -> bool {
         let new: BTreeSet<&str> = ids.filter(|id| !self.jobs.contains_key(*id)).collect();
@@ -331,8 +459,15 @@
 
     /// Guards and writes every record that the draft has touched.
     pub fn into_commit(self) -> (Vec<Guard>, Vec<Write>) {
-        let mut guards = Vec::new();
-        let mut writes = Vec::new();
+        let mut parts = CommitParts::new(self.replica);
+        if let Some(accounts) = self.accounts {
+            accounts.into_commit(&mut parts);
+        }
+        let CommitParts {
+            mut guards,
+            mut writes,
+            ..
+        } = parts;
         for (id, job) in &self.jobs {
             guards.push(guard(job_key(id), self.replica.job_version(id)));
             writes.push(self.replica.put_job(id, job));
--- a/src/settings/derived.rs
+++ b/src/settings/derived.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::{NextStateTerms, Settings, TeamTerms};
+use crate::state::records::{FORMATS, FORMATS_SHARES};
 
 /// The bound that the platform gives for the drift between steady clocks.
 pub const CLOCK_DRIFT: f64 = 0.0005;
@@ -62,6 +63,14 @@
             .chain([(self.node.as_str(), self.zone.as_str())])
     }
 
+    /// The newest formats that this controller tells of.
+    pub fn formats(&self) -> u32 {
+        match self.features.shares {
+            true => FORMATS_SHARES,
+            false => FORMATS,
+        }
+    }
+
     /// All controllers of the deployment, this one included.
     pub fn controllers(&self) -> Vec<&str> {
         self.controllers_with_zones()
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -7,6 +7,7 @@
 
 mod check;
 mod derived;
+mod features;
 mod teams;
 
 use std::net::SocketAddrV4;
@@ -18,6 +19,7 @@
 
 pub use check::FieldProblem;
 pub use derived::{BARRIER_GAP_REQUESTS, CLOCK_DRIFT};
+pub use features::Features;
 pub use teams::TeamTerms;
 
 /// Why a settings file cannot be used.
@@ -195,6 +197,9 @@
     /// The operators' own settings; not part of the platform's file.
     #[serde(skip)]
     pub policy: Policy,
+    /// What of the newer subsystems is on; from a file of its own.
+    #[serde(skip)]
+    pub features: Features,
 }
 
 impl Settings {
--- a/src/state/encoding/job.rs
+++ b/src/state/encoding/job.rs
@@ -79,6 +79,7 @@
         retry: Ranges::default(),
         spec: job.spec.clone(),
         failed_on: job.failed_on.clone(),
+        share: job.share.clone(),
         ..*job
     };
     let mut record = serde_json::to_string(&bare).ok()?;
--- a/src/state/keys.rs
+++ b/src/state/keys.rs
@@ -15,6 +15,9 @@
 /// The key of the record formats that all controllers can read.
 pub const FORMATS_KEY: &str = "sh/formats";
 
+/// The key of the pool that shares grow from.
+pub const POOL_KEY: &str = "sh/pool";
+
 /// The key of a job's record.
 pub fn job_key(id: &str) -> String {
     format!("{PREFIX}job/{id}")
@@ -54,3 +57,24 @@
 pub fn rental_key(id: &str) -> String {
     format!("{PREFIX}hire/{id}")
 }
+
+/// The key of the split of a team's room.
+pub fn share_key(team: &str) -> String {
+    format!("{PREFIX}share/{team}")
+}
+
+/// The name in the replica of the record of what is booked against a share; its key
+/// has it behind `use/`.
+pub fn share_use_id(team: &str, controller: &str) -> String {
+    format!("{team}/{controller}")
+}
+
+/// The key of what is booked against a share, by its id.
+pub fn share_use_key(id: &str) -> String {
+    format!("{PREFIX}use/{id}")
+}
+
+/// The key of a move that was asked for.
+pub fn move_key(id: &str) -> String {
+    format!("{PREFIX}move/{id}")
+}
--- a/src/state/records/controller.rs
+++ b/src/state/records/controller.rs
@@ -28,9 +28,13 @@
 /// are as before, but other conditions go with a new machine.
 pub const FORMATS_GROUPED_SHARDS: u32 = 3;
 
-/// The newest formats that this program reads and may write.
+/// The newest formats that a controller tells of while no feature is on.
 pub const FORMATS: u32 = FORMATS_GROUPED_SHARDS;
 
+/// The formats with shares: a controller tells of them while it has the feature on, and
+/// reads them always.
+pub const FORMATS_SHARES: u32 = 4;
+
 /// `formats`: which controllers have been seen to run a program that knows the
 /// newer formats, and whether all have. A controller is never seen to go back:
 /// one that ends before its turn in an upgrade has not been seen yet. What an
--- a/src/state/records/job.rs
+++ b/src/state/records/job.rs
@@ -4,6 +4,7 @@
 
 use resources::Resources;
 use serde::{Deserialize, Serialize};
+use shares::ControllerName;
 
 use super::ranges::Ranges;
 use super::spec::Spec;
@@ -90,6 +91,10 @@
     /// The machines that it failed on since then, the latest last.
     #[serde(rename = "em", default, skip_serializing_if = "Vec::is_empty")]
     pub failed_on: Vec<String>,
+    /// The controller whose share its bookings count against, if its team's room is
+    /// split. Only written once every controller reads it.
+    #[serde(rename = "sh", default, skip_serializing_if = "Option::is_none")]
+    pub share: Option<ControllerName>,
 }
 
 /// A job that has failed on so many machines in a row, and has succeeded on
@@ -115,6 +120,7 @@
             errors: 0,
             failed_attempt: 0,
             failed_on: Vec::new(),
+            share: None,
         }
     }
 
@@ -357,7 +363,8 @@
     Lost,
 }
 
-/// `team/T`: what the team's bookings take.
+/// `team/T`: what the team's bookings take; `use/T/C`: what those take that count
+/// against the share of controller C.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Team {
     /// The resources of all booked tasks.
--- a/src/state/records/mod.rs
+++ b/src/state/records/mod.rs
@@ -9,7 +9,9 @@
 mod ranges;
 mod spec;
 
-pub use controller::{ControllerRecord, FORMATS, FORMATS_COMPACT, FORMATS_GROUPED_SHARDS, Formats};
+pub use controller::{
+    ControllerRecord, FORMATS, FORMATS_COMPACT, FORMATS_GROUPED_SHARDS, FORMATS_SHARES, Formats,
+};
 pub use job::{Arrivals, DOUBT, FAILED_ON, Job, JobStatus, Outcome, Run, Team};
 pub use machine::{
     Machine, MachineLifecycle, MachineShard, MachineSlot, Rental, Types, ZoneShard,
--- a/src/state/replica/index.rs
+++ b/src/state/replica/index.rs
@@ -171,6 +171,8 @@
         if all > 0 {
             let used = self.team_booked.entry(spec.team.clone()).or_default();
             *used += spec.need.scaled(sign * all);
+            let by_share = self.share_booked.entry(spec.team.clone()).or_default();
+            by_share.add(job.share.as_ref(), spec.need.scaled(sign * all));
         }
     }
 
--- a/src/state/replica/mod.rs
+++ b/src/state/replica/mod.rs
@@ -7,12 +7,16 @@
 
 mod index;
 mod queries;
+mod shares;
 mod unreadable;
 mod writes;
 
+pub use shares::{MachineSums, fallback_controller};
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+use ::shares::{MoveRecord, Pool, Share};
 use foldhash::HashMap;
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
@@ -83,6 +87,14 @@
     pub jobs: HashMap<String, Entry<Job>>,
     /// What the teams' bookings take, by the teams' names.
     pub teams: Table<Team>,
+    /// The splits of teams' rooms, by the teams' names.
+    pub shares: Table<Share>,
+    /// What is booked against each share, as last recounted, by `team/controller`.
+    pub share_uses: Table<Team>,
+    /// The pool that shares grow from, if there is one.
+    pub pool: Option<Entry<Pool>>,
+    /// The moves that were asked for, by their ids.
+    pub moves: Table<MoveRecord>,
     /// The zones' records, by `zone/part`.
     pub zone_shards: Table<ZoneShard>,
     /// All machines, each with the revision of its own last change.
@@ -109,6 +121,8 @@
     /// What bookings take of each machine, by its number, and of each team.
     booked: HashMap<u32, Resources>,
     team_booked: HashMap<String, Resources>,
+    /// The same by the share that they count against.
+    share_booked: HashMap<String, shares::BookedByShare>,
     /// Removals of our own that the watch has not reached yet.
     removed: HashMap<String, u64>,
     /// Images that have been sent to a machine, the latest last. Memory only:
@@ -271,6 +285,24 @@
                 let team = value.and_then(|v| self.read(key, version, v));
                 put(&mut self.teams, id, version, team);
             }
+            "share" => {
+                let share = value.and_then(|v| self.read(key, version, v));
+                put(&mut self.shares, id, version, share);
+            }
+            "use" => {
+                let used = value.and_then(|v| self.read(key, version, v));
+                put(&mut self.share_uses, id, version, used);
+            }
+            "move" => {
+                let record = value.and_then(|v| self.read(key, version, v));
+                put(&mut self.moves, id, version, record);
+            }
+            "pool" => {
+                if self.pool.as_ref().is_none_or(|e| e.version < version) {
+                    let pool = value.and_then(|v| self.read(key, version, v));
+                    self.pool = pool.map(|value| Entry { version, value });
+                }
+            }
             "zone" => {
                 let shard = value.and_then(|v| self.read(key, version, v));
                 if put(&mut self.zone_shards, id, version, shard) {
--- a/tests/fleet/four_thousand.rs
+++ b/tests/fleet/four_thousand.rs
@@ -40,6 +40,7 @@
         machines: MACHINES,
         ready_s: 3600.0,
         boot_s: 4.0,
+        shares: false,
     }
 }
 
--- a/tests/fleet/mass_failures.rs
+++ b/tests/fleet/mass_failures.rs
@@ -24,6 +24,7 @@
         machines: 1905,
         ready_s: 3600.0,
         boot_s: 4.0,
+        shares: false,
     }
 }
 
@@ -44,6 +45,7 @@
         machines: 1295,
         ready_s: 3600.0,
         boot_s: 4.0,
+        shares: false,
     }
 }
 
--- a/tests/stand_ins/controllers.rs
+++ b/tests/stand_ins/controllers.rs
@@ -51,6 +51,9 @@
         if !self.next.borrow().is_null() {
             shape.state["next"] = self.next.borrow().clone();
         }
+        if let Some(on) = self.shares.borrow().get(&i) {
+            shape.shares = *on;
+        }
         let node = Node::new(shape.settings(i), net, seed);
         // A set of its own: all that the controller spawned ends with it.
         let set = LocalSet::new();
--- a/tests/stand_ins/scenario.rs
+++ b/tests/stand_ins/scenario.rs
@@ -73,6 +73,8 @@
     pub ready_s: f64,
     /// How long a machine takes before its worker reports.
     pub boot_s: f64,
+    /// Whether controllers have the feature of shares on.
+    pub shares: bool,
 }
 
 impl Default for Shape {
@@ -93,6 +95,7 @@
             machines: 0,
             ready_s: 4.0,
             boot_s: 4.0,
+            shares: false,
         }
     }
 }
@@ -100,7 +103,9 @@
 impl Shape {
     /// The settings of a controller.
     pub fn settings(&self, i: usize) -> Settings {
-        Settings::parse(&self.settings_text(i)).expect("settings")
+        let mut settings = Settings::parse(&self.settings_text(i)).expect("settings");
+        settings.features.shares = self.shares;
+        settings
     }
 
     /// The text of a controller's settings file.
@@ -187,6 +192,8 @@
     pub(super) frozen: Vec<watch::Sender<bool>>,
     pub(super) client: Client,
     pub(super) seed: u64,
+    /// Controllers that start with the feature of shares as it is here, if it is.
+    pub shares: RefCell<BTreeMap<usize, bool>>,
     /// How often controllers were started.
     pub(super) runs: Cell<u64>,
 }
@@ -254,6 +261,7 @@
             shape,
             client: Client::new(users, Duration::from_secs(1)),
             seed,
+            shares: RefCell::default(),
             runs: Cell::new(0),
         })
     }
--- a/tests/stand_ins/state_service.rs
+++ b/tests/stand_ins/state_service.rs
@@ -87,10 +87,16 @@
     /// Controllers whose records are those of the program in production: they do
     /// not tell of any formats, nor record what others tell.
     pub older: RefCell<BTreeSet<usize>>,
+    /// Told of every commit that was carried out, with the records as it leaves them.
+    pub observers: RefCell<Vec<Observer>>,
     /// What tests have put down by themselves: it alone may be unreadable.
     put_down: RefCell<BTreeMap<String, Value>>,
 }
 
+/// Who reads every committed revision: the records, the keys that were written, and the
+/// revision.
+pub type Observer = Box<dyn Fn(&BTreeMap<String, (Value, u64)>, &[&str], u64)>;
+
 /// What one commit may write, one value hold, and all write in a second.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StateLimits {
@@ -186,6 +192,7 @@
             requests: RateLimit::default(),
             misplaced: RefCell::default(),
             older: RefCell::default(),
+            observers: RefCell::default(),
             put_down: RefCell::default(),
         }
     }
@@ -413,6 +420,10 @@
             self.log.borrow_mut().push(event);
         }
         self.check_changed_places(writes, at);
+        let keys: Vec<&str> = writes.iter().map(written_key).collect();
+        for observer in self.observers.borrow().iter() {
+            observer(&self.pairs.borrow(), &keys, at);
+        }
         self.revision.send_replace(at);
         Response::json(200, &json!({"ledger_rev": at}))
     }
