Shares: command line, features file with its schema, answers for operators

Need: operators show splits, move a part and see how far it has come, at any controller; subsystems are turned on by a checked file.

--- a/crates/shares/src/booking.rs
+++ b/crates/shares/src/booking.rs
@@ -28,10 +28,6 @@
     Partial(Box<Change>),
 }
 
-/// A share that grows from the pool takes so many times what it lacks where the pool
-/// has as much, as each growth writes the pool.
-const GROWTH: i64 = 4;
-
 /// The room that a booking needs in a controller's share, with all that has to be
 /// written for it beside the booking itself. What it reads is part of the change: the
 /// booking writes the record of use, and is guarded by the split. The change writes at
@@ -126,7 +122,10 @@
     let Some(mut pool) = draft.pool().filter(|pool| pool.free().fits(&lacking)) else {
         return Err(Shortage::Machines);
     };
-    let more = lacking.scaled(GROWTH).min(&pool.free()).min(&below_limit);
+    let more = lacking
+        .scaled(i64::from(ledger.growth))
+        .min(&pool.free())
+        .min(&below_limit);
     let part = lacking.max(&more);
     pool.granted += part;
     draft.set_pool(pool);
--- a/crates/shares/src/ledger.rs
+++ b/crates/shares/src/ledger.rs
@@ -85,6 +85,9 @@
     pub machines: Resources,
     /// What those of them have that are not about to leave.
     pub staying: Resources,
+    /// A share that grows from the pool takes so many times what it lacks, where the pool
+    /// has as much: each growth writes the pool.
+    pub growth: u32,
     /// The teams.
     pub teams: BTreeMap<TeamName, TeamAccount>,
 }
--- a/crates/shares/tests/exploration.rs
+++ b/crates/shares/tests/exploration.rs
@@ -124,7 +124,10 @@
 
 impl World {
     fn new() -> Self {
-        let mut ledger = Ledger::default();
+        let mut ledger = Ledger {
+            growth: 2,
+            ..Ledger::default()
+        };
         for team in ["t", "u"] {
             let account = ledger.teams.entry(TeamName::from(team)).or_default();
             account.limit = TeamLimit {
--- a/crates/shares/tests/properties.rs
+++ b/crates/shares/tests/properties.rs
@@ -277,6 +277,7 @@
         let mut ledger = Ledger {
             machines: books.room(),
             staying: books.room(),
+            growth: 4,
             ..Ledger::default()
         };
         for team in TEAMS {
--- a/src/accounting/operators.rs
+++ b/src/accounting/operators.rs
@@ -81,7 +81,7 @@
             RETRY_AFTER_S,
         ));
     }
-    let off = !node.settings.features.shares && replica.pool.is_none();
+    let off = !node.settings.features.shares.enabled && replica.pool.is_none();
     off.then(|| Response::error(422, FEATURE_OFF))
 }
 
@@ -112,7 +112,7 @@
     let found = obstacle(account)?;
     let free = (account.free(found.controller.as_str())).positive();
     Some(format!(
-        "{} is still to give {}, has {} free and {} booked by jobs",
+        "{} is still to give {}; it has {} free and {} booked",
         found.controller,
         amount_text(found.owed),
         amount_text(free),
--- a/src/accounting/reconcile.rs
+++ b/src/accounting/reconcile.rs
@@ -23,9 +23,6 @@
 use crate::state::replica::{Replica, fallback_controller};
 use crate::wire::{Guard, Write};
 
-/// Passes of the loop in a report interval.
-const PASSES_PER_REPORT: u32 = 4;
-
 /// One commit of this loop, and what it is for.
 pub struct Step {
     /// What it does, for the log.
@@ -48,7 +45,7 @@
 
 /// Takes one step after another, as the budget allows.
 pub async fn run_shares(node: Rc<Node>) {
-    let tick = node.settings.report() / PASSES_PER_REPORT;
+    let tick = node.settings.report() / node.settings.features.shares.passes_per_report;
     loop {
         sleep(node.store.jitter(tick)).await;
         while has_step(&node) {
@@ -130,7 +127,7 @@
 /// Whether every controller that is up has the feature on, this one included.
 fn is_wanted(replica: &Replica, settings: &Settings) -> bool {
     let mut nodes = replica.nodes.values();
-    settings.features.shares && nodes.all(|entry| entry.value.formats >= FORMATS_SHARES)
+    settings.features.shares.enabled && nodes.all(|entry| entry.value.formats >= FORMATS_SHARES)
 }
 
 /// The pool is made once all machine shards count, and falls as machines leave; as they
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -63,13 +63,35 @@
     }
 
     fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CliError> {
+        let response = self.call("GET", path, None)?;
+        self.read(&response)
+    }
+
+    /// Asks something that refers to the arguments: what the controller finds wrong with
+    /// them is told as such.
+    pub(super) fn ask<T: DeserializeOwned>(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<T, CliError> {
+        let response = self.call(method, path, body)?;
+        match response.status {
+            400..=499 => Err(CliError::WrongArguments(reason(&response))),
+            _ => self.read(&response),
+        }
+    }
+
+    fn call(&self, method: &str, path: &str, body: Option<Vec<u8>>) -> Result<Response, CliError> {
         let client = Client::new(Net::System, RESPONSE_TIMEOUT);
-        let call = client.call(self.node, "GET", path, None, RESPONSE_TIMEOUT);
-        let response = runtime()?
-            .block_on(call)
-            .map_err(|cause| self.call_error(cause))?;
+        let call = client.call(self.node, method, path, body, RESPONSE_TIMEOUT);
+        let called = runtime()?.block_on(call);
+        called.map_err(|cause| self.call_error(cause))
+    }
+
+    fn read<T: DeserializeOwned>(&self, response: &Response) -> Result<T, CliError> {
         if response.status != 200 {
-            return Err(self.refusal(&response));
+            return Err(self.refusal(response));
         }
         response.parse().map_err(|cause| self.call_error(cause))
     }
@@ -82,15 +104,17 @@
     }
 
     fn refusal(&self, response: &Response) -> CliError {
-        let body: serde_json::Value = response.parse().unwrap_or_default();
-        let reason = body["error"].as_str().unwrap_or("no reason given");
         CliError::Refused {
             controller: self.node,
-            reason: reason.to_string(),
+            reason: reason(response),
         }
     }
 
-    fn print<T: Serialize>(&self, value: &T, text: impl Fn(&T) -> String) -> Result<(), CliError> {
+    pub(super) fn print<T: Serialize>(
+        &self,
+        value: &T,
+        text: impl Fn(&T) -> String,
+    ) -> Result<(), CliError> {
         if self.json {
             let json = serde_json::to_string_pretty(value).map_err(CliError::Json)?;
             println!("{json}");
@@ -100,3 +124,10 @@
         Ok(())
     }
 }
+
+/// Why a controller has refused what it was asked.
+fn reason(response: &Response) -> String {
+    let body: serde_json::Value = response.parse().unwrap_or_default();
+    let reason = body["error"].as_str().unwrap_or("no reason given");
+    reason.to_string()
+}
--- a/src/cli/error.rs
+++ b/src/cli/error.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddrV4;
 
+use features::FeaturesError;
+
 use crate::http::CallError;
 use crate::policy::PolicyError;
 use crate::settings::SettingsError;
@@ -31,6 +33,16 @@
     PolicyFile { path: String, cause: std::io::Error },
     #[error(transparent)]
     Policy(#[from] PolicyError),
+    #[error("features: cannot read {path}: {cause}")]
+    FeaturesFile { path: String, cause: std::io::Error },
+    #[error(transparent)]
+    Features(#[from] FeaturesError),
+    /// An amount of a move that no controller would take.
+    #[error("an amount is negative, too large or not a number")]
+    Amount,
+    /// A running controller says that the arguments are wrong.
+    #[error("{0}")]
+    WrongArguments(String),
     #[error("{0}")]
     Runtime(std::io::Error),
     #[error("{0}")]
@@ -58,7 +70,11 @@
             | CliError::LogLevel(_)
             | CliError::Settings(_)
             | CliError::PolicyFile { .. }
-            | CliError::Policy(_) => EXIT_WRONG,
+            | CliError::Policy(_)
+            | CliError::FeaturesFile { .. }
+            | CliError::Features(_)
+            | CliError::Amount
+            | CliError::WrongArguments(_) => EXIT_WRONG,
             CliError::Runtime(_)
             | CliError::Controller(_)
             | CliError::Call { .. }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod client;
 mod error;
 mod render;
+mod share;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -15,15 +16,17 @@
 use client::ControllerArgs;
 use error::CliError;
 use rand::{Rng, SeedableRng};
+use share::ShareCommand;
 use tracing::level_filters::LevelFilter;
 
 use crate::net::Net;
 use crate::node::Node;
 use crate::policy::Policy;
-use crate::settings::Settings;
+use crate::settings::{Features, Settings};
 
 pub use error::{EXIT_FAILED, EXIT_UNDONE, EXIT_WRONG, LogLevelError};
 pub use render::{explain, job_text, report_text, span_text, teams_text};
+pub use share::{moves_text, shares_text};
 
 /// The exit code of a command that was carried out.
 const EXIT_DONE: u8 = 0;
@@ -45,6 +48,9 @@
     /// Run it with the operators' policy in this file.
     #[arg(long, value_name = "FILE", env = "SHELFHOIST_POLICY")]
     policy: Option<PathBuf>,
+    /// Run it with the subsystems on that this file turns on (TOML).
+    #[arg(long, value_name = "FILE")]
+    features_file: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -76,6 +82,11 @@
         #[command(flatten)]
         controller: ControllerArgs,
     },
+    /// Show how the room of teams is split over the controllers, and move parts of it.
+    Share {
+        #[command(subcommand)]
+        command: ShareCommand,
+    },
     /// Report what is unfinished or late, and why.
     Report {
         #[command(flatten)]
@@ -88,7 +99,9 @@
     let cli = Cli::parse();
     let outcome = match (cli.command, cli.config) {
         (Some(command), _) => run_command(command),
-        (None, Some(config)) => run_controller(&config, cli.policy.as_deref()),
+        (None, Some(config)) => {
+            run_controller(&config, cli.policy.as_deref(), cli.features_file.as_deref())
+        }
         (None, None) => Err(CliError::NoConfig),
     };
     match outcome {
@@ -116,15 +129,22 @@
         Command::Policy { file, quiet } => check_policy(file.as_deref(), quiet),
         Command::Job { id, controller } => controller.show_job(&id),
         Command::Teams { controller } => controller.show_teams(),
+        Command::Share { command } => command.run(),
         Command::Report { controller } => controller.show_report(),
     }
 }
 
-fn run_controller(config: &Path, policy: Option<&Path>) -> Result<u8, CliError> {
+fn run_controller(
+    config: &Path,
+    policy: Option<&Path>,
+    features: Option<&Path>,
+) -> Result<u8, CliError> {
     let level = std::env::var("LOG_LEVEL").ok();
     start_logging(log_level(level.as_deref())?);
     let mut settings = Settings::load(config)?;
     settings.policy = read_policy(policy)?;
+    settings.features = read_features(features)?;
+    settings.check_features()?;
     let local = tokio::task::LocalSet::new();
     local
         .block_on(&runtime()?, async {
@@ -176,6 +196,17 @@
     Ok(Policy::parse(&text)?)
 }
 
+fn read_features(file: Option<&Path>) -> Result<Features, CliError> {
+    let Some(file) = file else {
+        return Ok(Features::default());
+    };
+    let text = std::fs::read_to_string(file).map_err(|cause| CliError::FeaturesFile {
+        path: file.display().to_string(),
+        cause,
+    })?;
+    Ok(Features::parse(&text)?)
+}
+
 fn runtime() -> Result<tokio::runtime::Runtime, CliError> {
     // One thread: a controller has a small part of one core.
     tokio::runtime::Builder::new_current_thread()
--- /dev/null
+++ b/src/cli/share.rs
@@ -0,0 +1,212 @@
+//! The commands about shares: what each controller has of a team's room, moving a part of
+//! it, and how far moves have come.
+
+use clap::Subcommand;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use shares::MoveState;
+
+use super::EXIT_DONE;
+use super::client::ControllerArgs;
+use super::error::CliError;
+use crate::accounting::{
+    Amounts, ControllerShare, MoveAnswer, MoveReport, MoveRequest, ShareReport, TeamShares,
+};
+
+#[derive(Debug, Subcommand)]
+pub(super) enum ShareCommand {
+    /// Show the split of a team's room, or of all.
+    Show {
+        /// The team.
+        team: Option<String>,
+        #[command(flatten)]
+        controller: ControllerArgs,
+    },
+    /// Move a part of a team's room from one controller to another; jobs run on.
+    Move {
+        /// The team.
+        team: String,
+        /// The controller that gives.
+        #[arg(long, value_name = "CONTROLLER")]
+        from: String,
+        /// The controller that receives.
+        #[arg(long, value_name = "CONTROLLER")]
+        to: String,
+        /// CPUs.
+        #[arg(
+            long,
+            value_name = "N",
+            default_value_t = 0.0,
+            allow_negative_numbers = true
+        )]
+        cpus: f64,
+        /// Accelerators.
+        #[arg(
+            long,
+            value_name = "N",
+            default_value_t = 0.0,
+            allow_negative_numbers = true
+        )]
+        gpus: f64,
+        /// Memory, in GB.
+        #[arg(
+            long,
+            value_name = "N",
+            default_value_t = 0.0,
+            allow_negative_numbers = true
+        )]
+        memory_gb: f64,
+        /// The operation's id, for repeating it: it takes effect once.
+        #[arg(long)]
+        id: Option<String>,
+        /// Only say what would be done.
+        #[arg(long)]
+        dry_run: bool,
+        #[command(flatten)]
+        controller: ControllerArgs,
+    },
+    /// Tell how far a move has come, or the latest ones.
+    Status {
+        /// The operation's id.
+        id: Option<String>,
+        #[command(flatten)]
+        controller: ControllerArgs,
+    },
+}
+
+impl ShareCommand {
+    pub(super) fn run(self) -> Result<u8, CliError> {
+        match self {
+            ShareCommand::Show { team, controller } => {
+                let path = with_query("/ops/shares", "team", team.as_deref());
+                let report: ShareReport = controller.ask("GET", &path, None)?;
+                controller.print(&report, shares_text)?;
+            }
+            ShareCommand::Status { id, controller } => {
+                let path = with_query("/ops/shares/moves", "id", id.as_deref());
+                let answer: MoveAnswer = controller.ask("GET", &path, None)?;
+                controller.print(&answer, moves_text)?;
+            }
+            ShareCommand::Move {
+                team,
+                from,
+                to,
+                cpus,
+                gpus,
+                memory_gb,
+                id,
+                dry_run,
+                controller,
+            } => {
+                let amount = Amounts {
+                    cpus,
+                    gpus,
+                    memory_gb,
+                };
+                amount.resources().ok_or(CliError::Amount)?;
+                let request = MoveRequest {
+                    id: id.unwrap_or_else(random_id),
+                    team,
+                    from,
+                    to,
+                    amount,
+                    dry_run,
+                };
+                let body = serde_json::to_vec(&request).map_err(CliError::Json)?;
+                let answer: MoveAnswer = controller.ask("POST", "/ops/shares/move", Some(body))?;
+                controller.print(&answer, moves_text)?;
+            }
+        }
+        Ok(EXIT_DONE)
+    }
+}
+
+/// An id that no other operation has.
+fn random_id() -> String {
+    let mut rng = SmallRng::from_os_rng();
+    format!("move-{:016x}", rng.random::<u64>())
+}
+
+fn with_query(path: &str, name: &str, value: Option<&str>) -> String {
+    match value {
+        Some(value) => format!("{path}?{name}={value}"),
+        None => path.to_string(),
+    }
+}
+
+/// The splits of teams' rooms, a line for each controller.
+pub fn shares_text(report: &ShareReport) -> String {
+    let mut text = format!(
+        "At revision {}: shares hold {} of {}.\n",
+        report.revision,
+        amounts_text(&report.granted),
+        amounts_text(&report.capacity)
+    );
+    text.extend(report.teams.iter().map(team_text));
+    text
+}
+
+fn team_text(team: &TeamShares) -> String {
+    let mut text = match team.split {
+        true => format!(
+            "{}: move {} of {} settled\n",
+            team.team, team.settled, team.generation
+        ),
+        false => format!("{}: not split\n", team.team),
+    };
+    text.extend(team.controllers.iter().map(controller_text));
+    if let Some(obstacle) = &team.obstacle {
+        text += &format!("  left to move: {obstacle}\n");
+    }
+    text
+}
+
+fn controller_text(share: &ControllerShare) -> String {
+    let mut text = format!(
+        "  {}: has {}, {} used",
+        share.controller,
+        amounts_text(&share.granted),
+        amounts_text(&share.used)
+    );
+    if share.wanted != share.granted {
+        text += &format!(", is to have {}", amounts_text(&share.wanted));
+    }
+    text + "\n"
+}
+
+/// Moves, a line for each.
+pub fn moves_text(answer: &MoveAnswer) -> String {
+    let mut text = format!("At revision {}:\n", answer.revision);
+    text.extend(answer.moves.iter().map(move_text));
+    if answer.moves.is_empty() {
+        text += "  no moves\n";
+    }
+    text
+}
+
+fn move_text(one: &MoveReport) -> String {
+    let state = match one.state {
+        MoveState::Pending => "pending",
+        MoveState::Superseded => "superseded by a later move, and part of it",
+        MoveState::Done => "done",
+    };
+    let mut text = format!(
+        "  {}: {} of {} from {} to {}: {state}\n",
+        one.id,
+        amounts_text(&one.amount),
+        one.team,
+        one.from,
+        one.to
+    );
+    if let Some(obstacle) = &one.obstacle {
+        text += &format!("    {obstacle}\n");
+    }
+    text
+}
+
+fn amounts_text(amounts: &Amounts) -> String {
+    format!(
+        "{} CPUs, {} accelerators, {} GB",
+        amounts.cpus, amounts.gpus, amounts.memory_gb
+    )
+}
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -15,6 +15,11 @@
 const MIN_TXN_OPS: usize = 4;
 /// The smallest record limit that the scheduler can work with, in KiB.
 const MIN_VALUE_KB: f64 = 2.0;
+/// The longest name of a team or a controller with shares on, in bytes.
+const SHARE_NAME_LIMIT: usize = 90;
+/// What a team's split takes for a controller beside its name: three amounts of up to
+/// thirteen digits, quotes and marks.
+const SHARE_BYTES: usize = 64;
 /// The fewest sockets that a controller can work with.
 const MIN_SOCKETS: usize = 50;
 /// How many report intervals a lease has to exceed.
@@ -81,6 +86,12 @@
     /// A record limit to come is too small or too large.
     #[error("must be 2 at least, a million at most")]
     ValueSize,
+    /// With shares on, the names of a team and a controller make a key together.
+    #[error("with shares on, needs no slash and 90 bytes at most")]
+    ShareName,
+    /// With shares on, a team's split names every controller.
+    #[error("too many controllers or too long names for a record of a team's shares")]
+    ShareRecord,
 }
 
 use FieldProblem as Problem;
@@ -116,6 +127,29 @@
         self.check_clock_offset()
     }
 
+    /// Checks what the features that are on ask of the settings.
+    pub fn check_features(&self) -> CheckResult {
+        if !self.features.shares.enabled {
+            return Ok(());
+        }
+        let is_fit = |name: &str| name.len() <= SHARE_NAME_LIMIT && !name.contains('/');
+        let controllers = self.controllers();
+        for name in &controllers {
+            require(is_fit(name), *name, Problem::ShareName)?;
+        }
+        for (i, team) in self.deployment.teams.iter().enumerate() {
+            let field = format!("deployment.teams[{i}].name");
+            require(is_fit(&team.name), field, Problem::ShareName)?;
+        }
+        let split: usize = controllers
+            .iter()
+            .map(|name| name.len() + SHARE_BYTES)
+            .sum();
+        // What is granted, and what is left to move.
+        let fits = SHARE_BYTES + self.longest_name() + split * 2 <= self.value_bytes();
+        require(fits, "deployment.count", Problem::ShareRecord)
+    }
+
     fn check_controllers(&self) -> CheckResult {
         check_name("node", &self.node)?;
         let mut names = HashSet::from([self.node.as_str()]);
--- a/src/settings/derived.rs
+++ b/src/settings/derived.rs
@@ -65,7 +65,7 @@
 
     /// The newest formats that this controller tells of.
     pub fn formats(&self) -> u32 {
-        match self.features.shares {
+        match self.features.shares.enabled {
             true => FORMATS_SHARES,
             false => FORMATS,
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -7,7 +7,6 @@
 
 mod check;
 mod derived;
-mod features;
 mod teams;
 
 use std::net::SocketAddrV4;
--- a/src/state/replica/shares.rs
+++ b/src/state/replica/shares.rs
@@ -127,6 +127,7 @@
             pool: self.pool.as_ref().map(|entry| entry.value),
             machines: sums.on_record,
             staying: sums.staying,
+            growth: settings.features.shares.growth,
             teams: teams
                 .map(|terms| {
                     let (cpus, gpus) = terms.limit();
--- a/tests/shares/main.rs
+++ b/tests/shares/main.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod churn;
 mod moves;
+mod operators;
 mod setup;
 
 // Each target of tests uses a part of them.
--- a/tests/stand_ins/scenario.rs
+++ b/tests/stand_ins/scenario.rs
@@ -104,7 +104,8 @@
     /// The settings of a controller.
     pub fn settings(&self, i: usize) -> Settings {
         let mut settings = Settings::parse(&self.settings_text(i)).expect("settings");
-        settings.features.shares = self.shares;
+        settings.features.shares.enabled = self.shares;
+        settings.check_features().expect("settings for shares");
         settings
     }
 
