Loopback: a controller dies in a move that takes jobs along, and another move comes

Need: moves shown on real sockets with real processes.

Change: the stand-ins also serve on sockets of the system, in addresses of 127.0.0.0/8; a gate in the stand-in state service holds commits that a test names, so that no verdict depends on timing. The test starts three processes, moves a share by the command line, kills the process that took the first step, asks for a second move, and waits.

--- a/crates/shares/src/booking.rs
+++ b/crates/shares/src/booking.rs
@@ -8,6 +8,7 @@
 use crate::change::{Change, Draft};
 use crate::ledger::Ledger;
 use crate::names::{ControllerName, TeamName};
+use crate::records::Pool;
 use crate::transfer::balance;
 
 /// Why a booking gets no room.
@@ -112,14 +113,7 @@
     if !below_limit.fits(&lacking) {
         return Err(Shortage::Limit(team.clone()));
     }
-    let mut pool = draft.pool().unwrap_or_default();
-    // It rises late: the machines that have come since count from now on.
-    pool.capacity = pool.capacity.max(&ledger.staying);
-    draft.set_pool(pool);
-    if !pool.free().fits(&lacking) {
-        shrink_others(draft, ledger, team, lacking, max_others);
-    }
-    let Some(mut pool) = draft.pool().filter(|pool| pool.free().fits(&lacking)) else {
+    let Some(mut pool) = pool_with_room(draft, ledger, team, lacking, max_others) else {
         return Err(Shortage::Machines);
     };
     let more = lacking
@@ -135,6 +129,24 @@
     Ok(())
 }
 
+/// The pool with as much free as is lacking: machines that have come since count from now
+/// on, and other teams give free room back. `None` if that is not enough.
+pub(crate) fn pool_with_room(
+    draft: &mut Draft,
+    ledger: &Ledger,
+    team: &TeamName,
+    lacking: Resources,
+    max_others: usize,
+) -> Option<Pool> {
+    let mut pool = draft.pool().unwrap_or_default();
+    pool.capacity = pool.capacity.max(&ledger.staying);
+    draft.set_pool(pool);
+    if !pool.free().fits(&lacking) {
+        shrink_others(draft, ledger, team, lacking, max_others);
+    }
+    draft.pool().filter(|pool| pool.free().fits(&lacking))
+}
+
 /// Gives free room of other teams, of so many at most, back to the pool until it has as
 /// much as is lacking.
 fn shrink_others(
--- a/crates/shares/src/lifecycle.rs
+++ b/crates/shares/src/lifecycle.rs
@@ -5,6 +5,7 @@
 
 use resources::Resources;
 
+use crate::booking::pool_with_room;
 use crate::change::{Change, Draft};
 use crate::ledger::Ledger;
 use crate::names::{ControllerName, TeamName};
@@ -19,15 +20,20 @@
     /// There is no pool yet, or it does not hold what is booked.
     #[error("the pool does not hold what is booked yet")]
     PoolTooSmall,
+    /// Other teams' free room is more than one commit takes back: this is to be committed
+    /// first.
+    #[error("other teams have to give room back first")]
+    Partial(Box<Change>),
 }
 
 /// Begins a team's accounting by shares: each controller is granted what is booked
 /// against it, and the rest comes on demand. What names no controller counts against
-/// the share of `fallback`.
+/// the share of `fallback`. With the team's own record it writes at most `max_writes`.
 pub fn open_team(
     ledger: &Ledger,
     team: &TeamName,
     fallback: &ControllerName,
+    max_writes: usize,
 ) -> Result<Change, OpenError> {
     let mut draft = Draft::new(ledger);
     if draft.share(team).is_some() {
@@ -36,12 +42,17 @@
     let used = ledger.teams.get(team).map(|account| account.used.clone());
     let granted = used.unwrap_or_default();
     let total: Resources = granted.values().copied().sum();
-    let Some(mut pool) = draft.pool() else {
-        return Err(OpenError::PoolTooSmall);
-    };
-    if !pool.free().fits(&total) {
+    if draft.pool().is_none() {
         return Err(OpenError::PoolTooSmall);
     }
+    // The split, the pool and the team's own record are written anyway.
+    let max_others = max_writes.saturating_sub(3);
+    let Some(mut pool) = pool_with_room(&mut draft, ledger, team, total, max_others) else {
+        return Err(match draft.shrunk(team) {
+            0 => OpenError::PoolTooSmall,
+            _ => OpenError::Partial(Box::new(draft.finish())),
+        });
+    };
     pool.granted += total;
     draft.set_pool(pool);
     let mut change = draft.finish();
--- a/crates/shares/tests/exploration.rs
+++ b/crates/shares/tests/exploration.rs
@@ -141,7 +141,8 @@
             .expect("a pool")
             .apply(&mut ledger);
         for team in ["t", "u"] {
-            let change = open_team(&ledger, &team.into(), &"n0".into()).expect("opened");
+            let change =
+                open_team(&ledger, &team.into(), &"n0".into(), MAX_WRITES).expect("opened");
             change.apply(&mut ledger);
         }
         World {
--- a/crates/shares/tests/properties.rs
+++ b/crates/shares/tests/properties.rs
@@ -287,7 +287,7 @@
             .expect("a pool")
             .apply(&mut ledger);
         for team in TEAMS {
-            let opened = open_team(&ledger, &team.into(), &CONTROLLERS[0].into());
+            let opened = open_team(&ledger, &team.into(), &CONTROLLERS[0].into(), MANY_WRITES);
             opened.expect("opened").apply(&mut ledger);
         }
         Accounts {
@@ -417,7 +417,7 @@
         .expect("a pool")
         .apply(&mut ledger);
     for name in &names {
-        let opened = open_team(&ledger, &name.as_str().into(), &"n0".into());
+        let opened = open_team(&ledger, &name.as_str().into(), &"n0".into(), MANY_WRITES);
         opened.expect("opened").apply(&mut ledger);
     }
     let pool = ledger.pool.as_mut().expect("a pool");
--- a/src/accounting/reconcile.rs
+++ b/src/accounting/reconcile.rs
@@ -8,7 +8,8 @@
 use std::rc::Rc;
 
 use shares::{
-    JobBooking, Ledger, TeamName, adjust_capacity, close_team, make_room, next_transfer, open_team,
+    JobBooking, Ledger, OpenError, TeamName, adjust_capacity, close_team, make_room, next_transfer,
+    open_team,
 };
 use tokio::time::{Instant, sleep};
 
@@ -222,9 +223,21 @@
     ledger: &Ledger,
     team: &TeamName,
 ) -> Option<Step> {
-    let change = open_team(ledger, team, &fallback_controller(settings)).ok()?;
     let mut parts = CommitParts::new(replica);
-    parts.add_change(&change);
+    let opened = open_team(
+        ledger,
+        team,
+        &fallback_controller(settings),
+        settings.txn_ops(),
+    );
+    match opened {
+        Ok(change) => parts.add_change(&change),
+        Err(OpenError::Partial(first)) => {
+            parts.add_change(&first);
+            return Some(Step::new("room for a team", parts));
+        }
+        Err(_) => return None,
+    }
     parts.put_team(team.as_str());
     Some(Step::new("begin", parts))
 }
--- a/tests/fleet/four_thousand.rs
+++ b/tests/fleet/four_thousand.rs
@@ -41,6 +41,7 @@
         ready_s: 3600.0,
         boot_s: 4.0,
         shares: false,
+        loopback: false,
     }
 }
 
--- a/tests/fleet/mass_failures.rs
+++ b/tests/fleet/mass_failures.rs
@@ -25,6 +25,7 @@
         ready_s: 3600.0,
         boot_s: 4.0,
         shares: false,
+        loopback: false,
     }
 }
 
@@ -46,6 +47,7 @@
         ready_s: 3600.0,
         boot_s: 4.0,
         shares: false,
+        loopback: false,
     }
 }
 
--- a/tests/shares/main.rs
+++ b/tests/shares/main.rs
@@ -3,8 +3,10 @@
 mod checker;
 mod checks;
 mod churn;
+mod loopback;
 mod moves;
 mod operators;
+mod program;
 mod setup;
 
 // Each target of tests uses a part of them.
--- a/tests/shares/operators.rs
+++ b/tests/shares/operators.rs
@@ -1,15 +1,13 @@
 //! What operators ask about shares, at any controller, and how the program starts with a
 //! features file.
 
-use std::path::PathBuf;
-use std::process::{Command, Output};
-
 use serde_json::{Value, json};
 use shelfhoist::accounting::{MoveAnswer, ShareReport};
 use shelfhoist::cli::{moves_text, shares_text};
 use tokio::time::{Instant, sleep};
 
 use crate::checker::Checker;
+use crate::program::{TemporaryFile, run};
 use crate::setup::*;
 use crate::stand_ins::{Trouble, World, in_world};
 
@@ -89,34 +87,6 @@
     });
 }
 
-/// The program's output for these arguments.
-fn run(arguments: &[&str]) -> Output {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_shelfhoist"));
-    command.args(arguments).output().expect("the program")
-}
-
-/// A file for one test, which removes it at the end.
-struct TemporaryFile(PathBuf);
-
-impl TemporaryFile {
-    fn new(name: &str, text: &str) -> Self {
-        let name = format!("shelfhoist-{}-{name}", std::process::id());
-        let path = std::env::temp_dir().join(name);
-        std::fs::write(&path, text).expect("a file");
-        TemporaryFile(path)
-    }
-
-    fn path(&self) -> &str {
-        self.0.to_str().expect("a path")
-    }
-}
-
-impl Drop for TemporaryFile {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
-
 #[test]
 fn a_wrong_features_file_ends_the_start_with_one_message() {
     let settings = TemporaryFile::new("settings.json", &shape(3).settings_text(0));
--- /dev/null
+++ b/tests/shares/program.rs
@@ -0,0 +1,51 @@
+//! The program itself, as a process.
+
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+
+/// The program's output for these arguments.
+pub fn run(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_shelfhoist"));
+    command.args(arguments).output().expect("the program")
+}
+
+/// A file for one test, which removes it at the end.
+pub struct TemporaryFile(PathBuf);
+
+impl TemporaryFile {
+    pub fn new(name: &str, text: &str) -> Self {
+        let name = format!("shelfhoist-{}-{name}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, text).expect("a file");
+        TemporaryFile(path)
+    }
+
+    pub fn path(&self) -> &str {
+        self.0.to_str().expect("a path")
+    }
+}
+
+impl Drop for TemporaryFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// A controller as a process of its own, which is killed with no signal that it could heed.
+pub struct Controller(Child);
+
+impl Controller {
+    pub fn start(settings: &str, features: &str) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_shelfhoist"));
+        let command = command.args(["--features-file", features, "--config", settings]);
+        let command = command.env("LOG_LEVEL", "error").stdin(Stdio::null());
+        Controller(command.spawn().expect("a controller"))
+    }
+}
+
+impl Drop for Controller {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
--- a/tests/stand_in_limits.rs
+++ b/tests/stand_in_limits.rs
@@ -15,7 +15,7 @@
 use stand_ins::{Shape, StateLimits, World, addr, in_world, state_addr};
 use tokio::time::sleep;
 
-const CLOUD: &str = "10.2.0.2:1";
+const CLOUD: &str = "127.2.0.2:8443";
 const CALLER: &str = "10.3.0.9:1";
 
 /// Whoever asks the stand-ins, without the daemon's own care for limits.
--- a/tests/stand_ins/cloud.rs
+++ b/tests/stand_ins/cloud.rs
@@ -124,7 +124,7 @@
             name: name.clone(),
             kind: body["grade"].as_str().unwrap_or("").to_string(),
             zone: body["yard"].as_str().unwrap_or("").to_string(),
-            port: addr(&format!("10.1.{}.{}:9000", n / 250, n % 250 + 1)),
+            port: addr(&format!("127.1.{}.{}:9000", n / 250, n % 250 + 1)),
             token: Cell::new(0),
             session: Cell::new(1),
             seq: Cell::new(0),
--- a/tests/stand_ins/controllers.rs
+++ b/tests/stand_ins/controllers.rs
@@ -4,7 +4,6 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use shelfhoist::net::Net;
 use shelfhoist::node::Node;
 use shelfhoist::state::records::MachineShard;
 use tokio::sync::watch;
@@ -43,7 +42,7 @@
 
     /// Starts a controller as a new process.
     pub fn start(&self, i: usize) {
-        let net = Net::Fabric(self.fabric.clone(), controller(i));
+        let net = self.net(controller(i));
         // Another run of the process draws other numbers.
         self.runs.set(self.runs.get() + 1);
         let seed = self.seed * 1000 + self.runs.get();
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -20,7 +20,9 @@
 #[allow(unused_imports)]
 pub use rules::Rule;
 #[allow(unused_imports)]
-pub use scenario::{CONTROLLERS, Shape, World, addr, after, controller, in_world, job, state_addr};
+pub use scenario::{
+    CONTROLLERS, Shape, World, addr, after, controller, in_real_world, in_world, job, state_addr,
+};
 #[allow(unused_imports)]
 pub use scripted::ScriptedController;
 #[allow(unused_imports)]
--- a/tests/stand_ins/production.rs
+++ b/tests/stand_ins/production.rs
@@ -26,7 +26,7 @@
         "job" => {
             let tasks = |text: &Value| text.as_str().is_none_or(|t| !t.starts_with('.'));
             let runs = value["r"].is_null() || value["r"].is_array();
-            runs && tasks(&value["q"]) && whole(&value["s"])
+            runs && tasks(&value["q"]) && whole(&value["s"]) && value["sh"].is_null()
         }
         "new" => value["j"]
             .as_object()
@@ -34,6 +34,8 @@
             .flatten()
             .all(|j| whole(j.1)),
         "zone" | "machine" => value["m"].is_object(),
+        // It would book past shares.
+        "share" | "use" | "pool" => false,
         // It passes over a key that it does not know.
         _ => true,
     }
--- a/tests/stand_ins/scenario.rs
+++ b/tests/stand_ins/scenario.rs
@@ -25,8 +25,8 @@
 pub const CONTROLLERS: usize = 3;
 /// Requests a second that the cloud serves.
 pub(super) const CLOUD_RPS: f64 = 5.0;
-pub(super) const CLOUD: &str = "10.2.0.2:1";
-pub(super) const USERS: &str = "10.3.0.1:1";
+pub(super) const CLOUD: &str = "127.2.0.2:8443";
+pub(super) const USERS: &str = "127.3.0.1:9001";
 
 /// An address of the fabric.
 pub fn addr(text: &str) -> SocketAddrV4 {
@@ -35,17 +35,17 @@
 
 /// Where controllers serve users and workers.
 pub fn controller(i: usize) -> SocketAddrV4 {
-    addr(&format!("10.0.0.{}:8080", i + 1))
+    addr(&format!("127.7.0.{}:8080", i + 1))
 }
 
 /// Where a controller finds the state service: an address for each, so that one
 /// alone can be refused.
 pub fn state_addr(i: usize) -> SocketAddrV4 {
-    addr(&format!("10.2.1.{}:1", i + 1))
+    addr(&format!("127.2.1.{}:2379", i + 1))
 }
 
 pub(super) fn mesh(i: usize) -> String {
-    format!("10.0.0.{}:8081", i + 1)
+    format!("127.7.0.{}:8081", i + 1)
 }
 
 /// A deployment as the stand-ins play it.
@@ -75,6 +75,8 @@
     pub boot_s: f64,
     /// Whether controllers have the feature of shares on.
     pub shares: bool,
+    /// Whether all meet on sockets of the system, in real time.
+    pub loopback: bool,
 }
 
 impl Default for Shape {
@@ -96,6 +98,7 @@
             ready_s: 4.0,
             boot_s: 4.0,
             shares: false,
+            loopback: false,
         }
     }
 }
@@ -149,6 +152,14 @@
         }
     }
 
+    /// The network of the process at an address.
+    fn net(&self, fabric: &Rc<Fabric>, address: SocketAddrV4) -> Net {
+        match self.loopback {
+            true => Net::System,
+            false => Net::Fabric(fabric.clone(), address),
+        }
+    }
+
     pub(super) fn lease(&self) -> Duration {
         Duration::from_secs_f64(self.lease_s)
     }
@@ -233,7 +244,7 @@
 
     fn unstarted(seed: u64, shape: Shape) -> Rc<Self> {
         let fabric = Rc::new(Fabric::default());
-        let users = Net::Fabric(fabric.clone(), addr(USERS));
+        let users = shape.net(&fabric, addr(USERS));
         Rc::new(World {
             fabric,
             state: Rc::new(State::new(seed)),
@@ -286,13 +297,18 @@
         }
     }
 
+    /// The network of the process at an address.
+    pub(super) fn net(&self, address: SocketAddrV4) -> Net {
+        self.shape.net(&self.fabric, address)
+    }
+
     /// Serves requests at an address of the fabric.
     pub(super) async fn serve_at(
         &self,
         address: SocketAddrV4,
         handler: impl Fn(Request) -> Answer + 'static,
     ) {
-        let net = Net::Fabric(self.fabric.clone(), address);
+        let net = self.net(address);
         let listener = net.listen(address).await.expect("listen");
         spawn_local(serve(listener, LIMITS, Rc::new(handler)));
     }
@@ -324,6 +340,15 @@
     job
 }
 
+/// Runs a test's world in real time, on sockets of the system.
+pub fn in_real_world<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime");
+    LocalSet::new().block_on(&runtime, async { test().await });
+}
+
 /// Runs a test's world in simulated time.
 pub fn in_world<F: Future<Output = ()>>(test: impl FnOnce() -> F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/tests/stand_ins/state_service.rs
+++ b/tests/stand_ins/state_service.rs
@@ -87,12 +87,17 @@
     /// Controllers whose records are those of the program in production: they do
     /// not tell of any formats, nor record what others tell.
     pub older: RefCell<BTreeSet<usize>>,
+    /// Commits that are refused, by who sends them and what they hold.
+    pub gate: RefCell<Option<Gate>>,
     /// Told of every commit that was carried out, with the records as it leaves them.
     pub observers: RefCell<Vec<Observer>>,
     /// What tests have put down by themselves: it alone may be unreadable.
     put_down: RefCell<BTreeMap<String, Value>>,
 }
 
+/// Whether a commit of a controller is refused.
+pub type Gate = Box<dyn Fn(usize, &Value) -> bool>;
+
 /// Who reads every committed revision: the records, the keys that were written, and the
 /// revision.
 pub type Observer = Box<dyn Fn(&BTreeMap<String, (Value, u64)>, &[&str], u64)>;
@@ -192,6 +197,7 @@
             requests: RateLimit::default(),
             misplaced: RefCell::default(),
             older: RefCell::default(),
+            gate: RefCell::default(),
             observers: RefCell::default(),
             put_down: RefCell::default(),
         }
@@ -261,6 +267,7 @@
                 ("GET", "/store") => self.list(&r.query),
                 ("GET", "/watch") => self.watch(i, &r.query).await,
                 ("GET", path) => self.read(path.trim_start_matches("/store/")),
+                ("POST", "/commit") if self.is_gated(i, &body) => Response::empty(503),
                 ("POST", "/commit") if self.older.borrow().contains(&i) => {
                     self.commit_as_production(body).await
                 }
@@ -275,6 +282,11 @@
         })
     }
 
+    fn is_gated(&self, i: usize, body: &Value) -> bool {
+        let gate = self.gate.borrow();
+        gate.as_ref().is_some_and(|refuses| refuses(i, body))
+    }
+
     /// One key, by `GET /store/{key}`.
     fn read(&self, key: &str) -> Response {
         match self.pairs.borrow().get(key) {
--- a/tests/stand_ins/worker.rs
+++ b/tests/stand_ins/worker.rs
@@ -9,7 +9,6 @@
 
 use serde_json::{Value, json};
 use shelfhoist::http::{Client, Request, Response, serve};
-use shelfhoist::net::Net;
 use shelfhoist::wire::*;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
@@ -211,7 +210,7 @@
     }
 
     pub(super) async fn listen(self: Rc<Self>, worker: Rc<Worker>) {
-        let net = Net::Fabric(self.fabric.clone(), worker.port);
+        let net = self.net(worker.port);
         let listener = net.listen(worker.port).await.expect("listen");
         let handler = Rc::new(move |r: Request| -> shelfhoist::http::Answer {
             let (world, w) = (self.clone(), worker.clone());
@@ -242,7 +241,7 @@
     pub(super) async fn heartbeat(self: Rc<Self>, w: Rc<Worker>) {
         sleep(Duration::from_secs_f64(self.shape.boot_s)).await;
         w.renewed.set(Instant::now());
-        let net = Net::Fabric(self.fabric.clone(), w.port);
+        let net = self.net(w.port);
         let client = Client::new(net, Duration::from_secs(30));
         let (lease, count) = (self.shape.lease(), self.shape.controllers);
         let report = Duration::from_secs_f64(self.shape.report_s);
