Shares are switched on and off under load, beside older programs

Need: on only once all controllers run the format and have the feature on; off with nothing lost, also when a controller ends halfway.

Change: tests that switch on, off and on again under load, hold the change after one team, and end a controller there; older programs are replaced one after another, and no record of shares stands before the last.

--- a/tests/shares/main.rs
+++ b/tests/shares/main.rs
@@ -5,6 +5,7 @@
 mod churn;
 mod loopback;
 mod moves;
+mod on_and_off;
 mod operators;
 mod program;
 mod setup;
