Shares measured: conflicts and writes a booking, how long moves take

Change: tests print and bound the figures; the stand-in state service counts commits that fail on a condition; the churn test reports how long moves took.

--- a/tests/shares/checker.rs
+++ b/tests/shares/checker.rs
@@ -4,11 +4,14 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::time::Duration;
 
 use serde_json::Value;
 use shares::{MoveRecord, Pool, Share};
 use shelfhoist::state::records::{Amount, Job, MachineShard, Resources};
 
+use tokio::time::Instant;
+
 use crate::stand_ins::{Shape, World};
 
 /// What can be found.
@@ -46,6 +49,10 @@
     machines: BTreeMap<String, Resources>,
     names: BTreeMap<String, BTreeSet<String>>,
     pool: Option<Pool>,
+    /// When each generation was asked for that is not settled, by team.
+    asked: BTreeMap<(String, u64), Instant>,
+    /// How long moves took from being asked for until nothing was left to move.
+    spans: Vec<Duration>,
     found: BTreeMap<Violation, String>,
     counts: Counts,
 }
@@ -141,6 +148,13 @@
         self.known.borrow().counts
     }
 
+    /// How long moves took, the shortest first.
+    pub fn spans(&self) -> Vec<Duration> {
+        let mut spans = self.known.borrow().spans.clone();
+        spans.sort();
+        spans
+    }
+
     /// The split of a team's room, if there is one.
     pub fn share(&self, team: &str) -> Option<Share> {
         self.known.borrow().shares.get(team).cloned()
@@ -282,9 +296,12 @@
                     let what = format!("{team} at {at}: {record:?} made {old:?} into {new:?}");
                     self.report(Violation::WrongMove, what);
                 }
+                let asked = (team.clone(), record.generation);
+                self.asked.insert(asked, Instant::now());
                 self.counts.superseded += usize::from(old.settled < old.generation);
             }
             self.counts.settled += usize::from(new.settled > old.settled);
+            self.note_settled(&team, new.settled);
         }
         for record in new_moves {
             if !self.shares.contains_key(record.team.as_str()) {
@@ -296,6 +313,20 @@
         }
     }
 
+    fn note_settled(&mut self, team: &str, settled: u64) {
+        let first = (team.to_string(), 0);
+        let last = (team.to_string(), settled);
+        let done: Vec<_> = self
+            .asked
+            .range(first..=last)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in done {
+            let asked = self.asked.remove(&key);
+            self.spans.extend(asked.map(|asked| asked.elapsed()));
+        }
+    }
+
     /// What is booked against each share of a team.
     fn booked(&self, team: &str) -> BTreeMap<String, Resources> {
         let mut sums: BTreeMap<String, Resources> = BTreeMap::new();
--- a/tests/shares/churn.rs
+++ b/tests/shares/churn.rs
@@ -280,6 +280,14 @@
         }
         churn.settle().await;
         churn.fill_the_limits().await;
+        let spans = checker.spans();
+        let at = |part: usize| spans[spans.len() * part / 100];
+        println!(
+            "moves took {:?}, 9 of 10 up to {:?}, 99 of 100 up to {:?}",
+            at(50),
+            at(90),
+            at(99)
+        );
         let met = churn.met.borrow();
         println!(
             "{controllers} controllers: {:?}, faults met {met:?}",
--- a/tests/shares/main.rs
+++ b/tests/shares/main.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod churn;
 mod loopback;
+mod measurements;
 mod moves;
 mod on_and_off;
 mod operators;
--- a/tests/stand_ins/state_service.rs
+++ b/tests/stand_ins/state_service.rs
@@ -87,6 +87,8 @@
     /// Controllers whose records are those of the program in production: they do
     /// not tell of any formats, nor record what others tell.
     pub older: RefCell<BTreeSet<usize>>,
+    /// Commits that failed on a condition.
+    pub conflicts: Cell<usize>,
     /// Commits that are refused, by who sends them and what they hold.
     pub gate: RefCell<Option<Gate>>,
     /// Told of every commit that was carried out, with the records as it leaves them.
@@ -197,6 +199,7 @@
             requests: RateLimit::default(),
             misplaced: RefCell::default(),
             older: RefCell::default(),
+            conflicts: Cell::default(),
             gate: RefCell::default(),
             observers: RefCell::default(),
             put_down: RefCell::default(),
@@ -420,6 +423,7 @@
             return Response::json(400, &json!({"error": "no such lease"}));
         }
         if !failed.is_empty() {
+            self.conflicts.set(self.conflicts.get() + 1);
             return Response::json(409, &json!({"failed": failed, "ledger_rev": at}));
         }
         if writes.is_empty() {
