Loops wired above the core, tests in modules; a split that cannot be read is made anew

A split that cannot be read is made anew from what is booked, under guard of the pool. What the machines have is summed when they change, not each round.

--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -33,7 +33,7 @@
 pub use capacity::{CapacityShortage, adjust_capacity, release_machines};
 pub use change::Change;
 pub use ledger::{Ledger, TeamAccount, TeamLimit, Violation};
-pub use lifecycle::{OpenError, close_team, open_team};
+pub use lifecycle::{OpenError, close_team, open_team, rebuild_team};
 pub use names::{ControllerName, JobName, TeamName};
 pub use records::{MoveRecord, MoveState, Pool, Share};
 pub use transfer::{
--- a/crates/shares/src/lifecycle.rs
+++ b/crates/shares/src/lifecycle.rs
@@ -76,3 +76,34 @@
     change.closed.insert(team.clone());
     Some(change)
 }
+
+/// Makes a split anew that cannot be read: each controller is granted what is booked
+/// against it. What was left to move is lost; moves up to `generation` count as done. Every
+/// change of a split's total writes the pool, so that this one depends on no other record.
+/// `None` if there is no pool.
+pub fn rebuild_team(
+    ledger: &Ledger,
+    team: &TeamName,
+    fallback: &ControllerName,
+    generation: u64,
+) -> Option<Change> {
+    let mut pool = ledger.pool?;
+    let account = ledger.teams.get(team)?;
+    let others = ledger.teams.iter().filter(|(name, _)| *name != team);
+    let others = others.filter_map(|(_, account)| account.share.as_ref());
+    let others: Resources = others.map(Share::total).sum();
+    pool.granted = others + account.total_used();
+    let share = Share {
+        generation,
+        settled: generation,
+        fallback: fallback.clone(),
+        granted: account.used.clone(),
+        ..Share::default()
+    };
+    let mut change = Change {
+        pool: Some(pool),
+        ..Change::default()
+    };
+    change.shares.insert(team.clone(), share);
+    Some(change)
+}
--- a/src/accounting/commit.rs
+++ b/src/accounting/commit.rs
@@ -4,7 +4,7 @@
 
 use shares::{Change, TeamName};
 
-use crate::node::{guard, put};
+use crate::state::commit::{guard, put};
 use crate::state::keys::{POOL_KEY, share_key, share_use_id, share_use_key, team_key};
 use crate::state::records::{Resources, Team};
 use crate::state::replica::Replica;
--- a/src/accounting/operators.rs
+++ b/src/accounting/operators.rs
@@ -11,10 +11,11 @@
     ControllerShare, MoveAnswer, MoveReport, MoveRequest, ShareReport, TeamShares,
 };
 use crate::http::Response;
-use crate::node::{Node, guard, put};
+use crate::node::Node;
 use crate::settings::Settings;
 use crate::state::budget::RequestClass;
 use crate::state::client::StoreError;
+use crate::state::commit::{guard, put};
 use crate::state::keys::move_key;
 use crate::state::records::Resources;
 use crate::state::replica::Replica;
--- a/src/accounting/reconcile.rs
+++ b/src/accounting/reconcile.rs
@@ -9,16 +9,17 @@
 
 use shares::{
     JobBooking, Ledger, OpenError, TeamName, adjust_capacity, close_team, make_room, next_transfer,
-    open_team,
+    open_team, rebuild_team,
 };
 use tokio::time::{Instant, sleep};
 
 use super::CommitParts;
-use crate::node::{Node, guard};
-use crate::scheduler::preferred;
+use crate::hash::preferred;
+use crate::node::Node;
 use crate::settings::Settings;
 use crate::state::budget::RequestClass;
 use crate::state::client::StoreError;
+use crate::state::commit::guard;
 use crate::state::keys::machine_shard_key;
 use crate::state::records::FORMATS_SHARES;
 use crate::state::replica::{Replica, fallback_controller};
@@ -184,6 +185,9 @@
     ledger: &Ledger,
     team: &TeamName,
 ) -> Option<Step> {
+    if replica.is_split_unreadable(team.as_str()) {
+        return rebuild_step(replica, settings, ledger, team);
+    }
     if replica.is_share_unreadable(team.as_str()) {
         return None;
     }
@@ -217,6 +221,24 @@
     Some(Step::new("transfer", parts))
 }
 
+/// A split that cannot be read is made anew from what is booked.
+fn rebuild_step(
+    replica: &Replica,
+    settings: &Settings,
+    ledger: &Ledger,
+    team: &TeamName,
+) -> Option<Step> {
+    let generation = replica.last_move_generation(team.as_str());
+    let change = rebuild_team(ledger, team, &fallback_controller(settings), generation)?;
+    tracing::error!(
+        team = team.as_str(),
+        "a split that cannot be read is made anew"
+    );
+    let mut parts = CommitParts::new(replica);
+    parts.add_change(&change);
+    Some(Step::new("rebuild", parts))
+}
+
 fn open_step(
     replica: &Replica,
     settings: &Settings,
--- a/src/api/acceptance.rs
+++ b/src/api/acceptance.rs
@@ -8,9 +8,10 @@
 use tokio::time::{Instant, sleep};
 
 use super::users::is_hopeless;
-use crate::node::{Node, guard, put};
+use crate::node::Node;
 use crate::state::budget::RequestClass;
 use crate::state::client::StoreError;
+use crate::state::commit::{guard, put};
 use crate::state::keys::{arrivals_key, job_key};
 use crate::state::records::{Arrivals, Job, Spec};
 use crate::wire::{Guard, Write};
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -19,6 +19,7 @@
 use share::ShareCommand;
 use tracing::level_filters::LevelFilter;
 
+use crate::controller;
 use crate::net::Net;
 use crate::node::Node;
 use crate::policy::Policy;
@@ -149,7 +150,7 @@
     local
         .block_on(&runtime()?, async {
             let seed = rand::rngs::SmallRng::from_os_rng().random();
-            Node::new(settings, Net::System, seed).run().await
+            controller::run(Node::new(settings, Net::System, seed)).await
         })
         .map_err(CliError::Controller)?;
     Ok(EXIT_DONE)
--- a/src/cloud/consolidation.rs
+++ b/src/cloud/consolidation.rs
@@ -5,10 +5,11 @@
 
 use super::headroom::spare_places;
 use super::offers::price_of;
-use crate::node::{Node, guard};
+use crate::node::Node;
 use crate::scheduler::{self, Care, Hints, MachineShardEdits, Plan};
 use crate::settings::Settings;
 use crate::state::budget::RequestClass;
+use crate::state::commit::guard;
 use crate::state::keys::{job_key, zone_shard_key};
 use crate::state::records::{Machine, MachineLifecycle, Outcome, Resources};
 use crate::state::replica::Replica;
--- a/src/cloud/draining.rs
+++ b/src/cloud/draining.rs
@@ -2,9 +2,10 @@
 //! what runs there saves its progress while there is time.
 
 use super::lifecycle::set_life;
-use crate::node::{Node, guard};
+use crate::node::Node;
 use crate::scheduler::COMMIT_BYTES;
 use crate::state::budget::RequestClass;
+use crate::state::commit::guard;
 use crate::state::keys::job_key;
 use crate::state::records::{Job, MachineLifecycle, Spec};
 use crate::wire::{Guard, Kind, Write};
--- a/src/cloud/leases.rs
+++ b/src/cloud/leases.rs
@@ -6,9 +6,10 @@
 
 use tokio::time::{Instant, sleep};
 
-use crate::node::{Node, guard, put};
+use crate::node::Node;
 use crate::state::budget::RequestClass;
 use crate::state::client::StoreError;
+use crate::state::commit::{guard, put};
 use crate::state::keys::{FLEET_KEY, FORMATS_KEY, node_key};
 use crate::state::records::ControllerRecord;
 use crate::state::replica::Replica;
--- a/src/cloud/lifecycle.rs
+++ b/src/cloud/lifecycle.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, HashSet};
 
-use crate::node::{Node, guard};
+use crate::node::Node;
 use crate::scheduler::{COMMIT_BYTES, MachineShardEdits};
 use crate::state::budget::RequestClass;
+use crate::state::commit::guard;
 use crate::state::keys::{shard_id, zone_shard_key};
 use crate::state::records::{Machine, MachineLifecycle, ZoneShard};
 use crate::state::replica::Replica;
--- a/src/cloud/returns.rs
+++ b/src/cloud/returns.rs
@@ -7,9 +7,10 @@
 
 use super::lifecycle::{LifeChange, set_lives};
 use super::rentals::rental_of;
-use crate::node::{Node, guard, put};
+use crate::node::Node;
 use crate::scheduler::MachineShardEdits;
 use crate::state::budget::RequestClass;
+use crate::state::commit::{guard, put};
 use crate::state::keys::{POOL_KEY, rental_key, shard_id};
 use crate::state::records::{MachineLifecycle, Rental, Resources};
 use crate::state::replica::Replica;
--- a/src/cloud/settling.rs
+++ b/src/cloud/settling.rs
@@ -1,8 +1,9 @@
 //! Records that have served their turn, and jobs' records that are still to say
 //! what follows from others.
 
-use crate::node::{Node, guard, put};
+use crate::node::Node;
 use crate::state::budget::RequestClass;
+use crate::state::commit::{guard, put};
 use crate::state::keys::{arrivals_key, job_key, rental_key};
 use crate::wire::{Guard, Write};
 
--- a/src/cloud/types.rs
+++ b/src/cloud/types.rs
@@ -7,8 +7,9 @@
 
 use tokio::time::{Instant, sleep};
 
-use crate::node::{Node, guard, put};
+use crate::node::Node;
 use crate::state::budget::RequestClass;
+use crate::state::commit::{guard, put};
 use crate::state::keys::TYPES_KEY;
 use crate::state::records::Types;
 use crate::wire::MachineTypes;
--- a/src/state/compaction.rs
+++ b/src/compaction.rs
@@ -9,10 +9,11 @@
 
 use tokio::time::{Instant, sleep};
 
-use crate::node::{Node, guard};
+use crate::node::Node;
 use crate::scheduler::MachineShardEdits;
 use crate::state::budget::RequestClass;
 use crate::state::client::StoreError;
+use crate::state::commit::guard;
 use crate::state::keys::{PREFIX, job_key, machine_shard_key, zone_shard_key};
 use crate::state::records::ZoneShard;
 use crate::state::replica::Replica;
@@ -215,7 +216,7 @@
     let peers = node.peers.borrow();
     let alive = peers.alive(node, Instant::now());
     let is_preferred = |id: &str| {
-        let preferred = crate::scheduler::preferred(id, alive.iter().copied());
+        let preferred = crate::hash::preferred(id, alive.iter().copied());
         preferred == Some(node.name())
     };
     let mut found: Vec<(u64, &str, &str)> = Vec::new();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod api;
 pub mod cli;
 pub mod cloud;
+pub mod compaction;
+pub mod controller;
 mod hash;
 pub mod http;
 pub mod mesh;
--- a/src/node.rs
+++ b/src/node.rs
@@ -27,7 +27,7 @@
 use crate::state::budget::{Budget, RequestClass};
 use crate::state::client::{Store, StoreError};
 use crate::state::replica::Replica;
-use crate::wire::{Commit, Guard, Write, raw};
+use crate::wire::{Commit, Guard, Write};
 use crate::workers::{AttemptKey, Claim, TerminationEvidence, WorkerSession};
 
 /// The limits of the state service are shared by all controllers, which do not
@@ -199,39 +199,6 @@
         self.placement_wanted.notify_one();
         self.commands_wanted.notify_one();
     }
-
-    /// Starts all loops of this controller; must run inside a `LocalSet`.
-    /// They end with the returned set.
-    pub async fn run(self: Rc<Self>) -> std::io::Result<()> {
-        let users = self.net.listen(self.settings.serve_on).await?;
-        let mesh = self.net.listen(self.settings.mesh_addr).await?;
-        let tasks = [
-            tokio::task::spawn_local(self.clone().run_liveness()),
-            tokio::task::spawn_local(self.clone().run_watch()),
-            tokio::task::spawn_local(self.clone().run_barriers()),
-            tokio::task::spawn_local(crate::api::serve(self.clone(), users)),
-            tokio::task::spawn_local(crate::mesh::listen(self.clone(), mesh)),
-            tokio::task::spawn_local(crate::mesh::speak(self.clone())),
-            tokio::task::spawn_local(crate::mesh::run_write_share(self.clone())),
-            tokio::task::spawn_local(crate::workers::run_claims(self.clone())),
-            tokio::task::spawn_local(crate::workers::run_commands(self.clone())),
-            tokio::task::spawn_local(crate::workers::run_publication(self.clone())),
-            tokio::task::spawn_local(crate::scheduler::run_placement(self.clone())),
-            tokio::task::spawn_local(crate::cloud::run_type_refresh(self.clone())),
-            tokio::task::spawn_local(crate::cloud::run_lease_renewal(self.clone())),
-            tokio::task::spawn_local(crate::cloud::run_fleet(self.clone())),
-            tokio::task::spawn_local(crate::cloud::run_rentals(self.clone())),
-            tokio::task::spawn_local(crate::api::run_acceptance(self.clone())),
-            tokio::task::spawn_local(crate::state::compaction::run_compaction(self.clone())),
-            tokio::task::spawn_local(crate::accounting::run_shares(self.clone())),
-        ];
-        tracing::info!(node = self.name(), on = %self.settings.serve_on, "started");
-        let _abort = AbortAll(tasks.iter().map(|t| t.abort_handle()).collect());
-        for task in tasks {
-            let _ = task.await;
-        }
-        Ok(())
-    }
 }
 
 /// The state service as a controller of these settings calls it.
@@ -247,28 +214,3 @@
     let patience = Duration::from_secs_f64(patience.clamp(0.5, 2.0));
     Store::new(client, settings.external.state, budget, patience, rng)
 }
-
-/// Ends the loops when the controller is dropped, as tests do.
-struct AbortAll(Vec<tokio::task::AbortHandle>);
-
-impl Drop for AbortAll {
-    fn drop(&mut self) {
-        for task in &self.0 {
-            task.abort();
-        }
-    }
-}
-
-/// A condition of a commit: the record's version is still this one.
-pub fn guard(key: String, version: u64) -> Guard {
-    Guard { key, version }
-}
-
-/// A write of `value` under `key`.
-pub fn put<T: serde::Serialize>(key: String, value: &T) -> Write {
-    Write::Put {
-        key,
-        value: raw(value),
-        lease: None,
-    }
-}
--- a/src/scheduler/ownership.rs
+++ b/src/scheduler/ownership.rs
@@ -1,28 +1,18 @@
 //! Which controller places a job: each job has a preferred one, so that
 //! controllers seldom decide on the same job at once.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use super::reasons::note;
 use super::round_state::RoundState;
+use crate::hash::preferred;
 use crate::node::Node;
 use crate::settings::Settings;
 use crate::state::records::Job;
 use crate::state::replica::Replica;
 
-/// Rendezvous hashing: every controller finds the same preferred one among
-/// those alive, and only the jobs of a lost one move.
-pub fn preferred<'a>(job: &str, alive: impl Iterator<Item = &'a str>) -> Option<&'a str> {
-    alive.max_by_key(|node| {
-        let mut hasher = DefaultHasher::new();
-        (job, node).hash(&mut hasher);
-        (hasher.finish(), *node)
-    })
-}
-
 /// The controller that places a job first. With teams enough to go round it is
 /// the same for all of a team: its record is then written by one, and jobs
 /// that are placed together share that write.
--- a/src/scheduler/record_size.rs
+++ b/src/scheduler/record_size.rs
@@ -4,8 +4,8 @@
 
 use super::plan::Place;
 use crate::state::encoding;
-use crate::state::records::{FAILED_ON, Job, Run, Spec};
-use crate::wire::Kind;
+use crate::state::record_bound::{failed_on_bytes, short_fixed_bytes};
+use crate::state::records::{Job, Run, Spec};
 
 /// What the keys, the counters, and the mark of a run that was split for a stop
 /// take in a record.
@@ -14,12 +14,6 @@
 /// What a run takes in a record, beside its names and numbers.
 const RUN_BYTES: usize = 72;
 
-/// What the counters may come to take in a short record.
-const SHORT_COUNTER_BYTES: usize = 130;
-
-/// The quotes and the comma of a name in a list.
-const NAME_PUNCTUATION_BYTES: usize = 3;
-
 /// How many of `places` the job's record can hold: every booked or retried
 /// task may come to stand alone, every machine and attempt takes a run. Fresh
 /// tasks share one attempt, see [`super::book`].
@@ -77,18 +71,6 @@
     running.chain(coming).chain(failed).max().unwrap_or(0)
 }
 
-/// What the machines take that a job may come to have failed on.
-fn failed_on_bytes(longest_name: usize) -> usize {
-    FAILED_ON * (longest_name + NAME_PUNCTUATION_BYTES)
-}
-
-/// What a job's short record takes beside its table, runs and tasks: counters as
-/// they may come to be, its spec, and machines that it may come to have failed on.
-fn short_fixed_bytes(job: &Job, longest_name: usize) -> usize {
-    let spec = serde_json::to_vec(&job.spec).map_or(usize::MAX / 2, |text| text.len());
-    SHORT_COUNTER_BYTES + spec + failed_on_bytes(longest_name)
-}
-
 /// The same for the compact encoding: exact in what the runs and tasks can come to
 /// take, with the mark of a stop. A run that is split for a stop makes two; who
 /// stops has it stop as a whole where there is no room for that.
@@ -161,18 +143,3 @@
         if new { encoding::run_bytes(1) } else { 0 }
     }
 }
-
-/// The least that a job's record takes while it runs: a gang's tasks all at
-/// once, of other jobs one; on machines with such names, in such zones.
-pub fn least_record(spec: &Spec, name: &str, zone: &str) -> usize {
-    /// An attempt of as many digits as one may come to have.
-    const LONG_ATTEMPT: u64 = 1000;
-    let job = Job::new(spec.clone(), u64::from(u32::MAX));
-    let tasks = match spec.kind {
-        Kind::Gang => spec.tasks as usize,
-        _ => 1,
-    };
-    let task_bytes = encoding::run_bytes(LONG_ATTEMPT) + encoding::task_bytes(spec.tasks);
-    let table_bytes = encoding::table_bytes([(name, zone)].into_iter());
-    short_fixed_bytes(&job, name.len()) + table_bytes + tasks * task_bytes
-}
--- a/src/scheduler/transaction.rs
+++ b/src/scheduler/transaction.rs
@@ -10,7 +10,7 @@
 
 use super::plan::Place;
 use crate::accounting::{BookingAccounts, BookingRequest, CommitParts, Space};
-use crate::node::{guard, put};
+use crate::state::commit::{guard, put};
 use crate::state::keys::{job_key, machine_shard_key, shard_id, team_key, zone_shard_key};
 use crate::state::records::{Job, MachineLifecycle, Resources, Spec, Team, ZoneShard};
 use crate::state::replica::Replica;
--- /dev/null
+++ b/src/state/commit.rs
@@ -0,0 +1,19 @@
+//! Conditions and writes of a commit.
+
+use serde::Serialize;
+
+use crate::wire::{Guard, Write, raw};
+
+/// A condition of a commit: the record's version is still this one.
+pub fn guard(key: String, version: u64) -> Guard {
+    Guard { key, version }
+}
+
+/// A write of `value` under `key`.
+pub fn put<T: Serialize>(key: String, value: &T) -> Write {
+    Write::Put {
+        key,
+        value: raw(value),
+        lease: None,
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -4,10 +4,11 @@
 
 pub mod budget;
 pub mod client;
-pub mod compaction;
+pub mod commit;
 pub mod encoding;
 pub mod keys;
 pub mod names;
+pub mod record_bound;
 pub mod record_trim;
 pub mod records;
 pub mod replica;
--- a/src/state/replica/mod.rs
+++ b/src/state/replica/mod.rs
@@ -13,6 +13,7 @@
 
 pub use shares::{MachineSums, fallback_controller};
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -121,6 +122,8 @@
     /// What bookings take of each machine, by its number, and of each team.
     booked: HashMap<u32, Resources>,
     team_booked: HashMap<String, Resources>,
+    /// What the machines on record have, once it was asked for since they changed.
+    machine_sums: Cell<Option<MachineSums>>,
     /// The same by the share that they count against.
     share_booked: HashMap<String, shares::BookedByShare>,
     /// Removals of our own that the watch has not reached yet.
@@ -276,6 +279,9 @@
                 None => self.oversized.remove(key),
             };
         }
+        if matches!(table, "machine" | "types" | "formats") {
+            self.machine_sums.set(None);
+        }
         match table {
             "job" => {
                 let job = value.and_then(|v| self.read::<Job>(key, version, v));
--- a/src/state/replica/shares.rs
+++ b/src/state/replica/shares.rs
@@ -56,7 +56,19 @@
 
     /// Whether nothing is known of how a team's bookings count: none may be made.
     pub fn is_share_unreadable(&self, team: &str) -> bool {
-        self.is_unreadable(&share_key(team)) || self.is_unreadable(POOL_KEY)
+        self.is_split_unreadable(team) || self.is_unreadable(POOL_KEY)
+    }
+
+    /// Whether a team's split cannot be read.
+    pub fn is_split_unreadable(&self, team: &str) -> bool {
+        self.is_unreadable(&share_key(team))
+    }
+
+    /// The generation of the latest move of a team that was asked for.
+    pub fn last_move_generation(&self, team: &str) -> u64 {
+        let moves = self.moves.values().map(|entry| &entry.value);
+        let of_team = moves.filter(|record| record.team.as_str() == team);
+        of_team.map(|record| record.generation).max().unwrap_or(0)
     }
 
     /// The version of the split of a team's room, 0 if there is none.
@@ -96,6 +108,13 @@
 
     /// What the machines of the counted shards have.
     pub fn machine_sums(&self) -> MachineSums {
+        let known = self.machine_sums.get();
+        let sums = known.unwrap_or_else(|| self.sum_machines());
+        self.machine_sums.set(Some(sums));
+        sums
+    }
+
+    fn sum_machines(&self) -> MachineSums {
         let mut sums = MachineSums::default();
         let shards = self.machine_shards.iter();
         for (_, shard) in shards.filter(|(id, _)| self.is_counted_shard(id)) {
--- a/src/state/replica/writes.rs
+++ b/src/state/replica/writes.rs
@@ -92,7 +92,7 @@
         let machine = longest(&mut self.machines.keys().map(String::as_str));
         let zone = longest(&mut self.zone_names.all());
         // What it awaits leaves its record before any of its tasks comes in.
-        let least = crate::scheduler::least_record(spec, &machine, &zone);
+        let least = crate::state::record_bound::least_record(spec, &machine, &zone);
         least.saturating_sub(spec.awaits_bytes()) <= most
     }
 
@@ -129,7 +129,7 @@
                 value,
                 lease: None,
             },
-            None => crate::node::put(key, value),
+            None => crate::state::commit::put(key, value),
         }
     }
 
--- a/src/workers/publication.rs
+++ b/src/workers/publication.rs
@@ -10,10 +10,11 @@
 
 use super::WorkerSession;
 use super::zone_shards::{Conditions, ShardChooser, ShardEdit, ShardLengths};
-use crate::node::{Node, guard};
+use crate::node::Node;
 use crate::scheduler::{COMMIT_BYTES, GUARDS_PER_WRITE};
 use crate::state::budget::RequestClass;
 use crate::state::client::StoreError;
+use crate::state::commit::guard;
 use crate::state::keys::zone_shard_key;
 use crate::state::records::{
     Machine, MachineLifecycle, MachineSlot, Resources, ZoneShard, split_task,
--- a/src/workers/routing.rs
+++ b/src/workers/routing.rs
@@ -105,7 +105,7 @@
             .filter(|n| zone_of(n) == zone)
             .collect();
         let choice = if there.is_empty() { alive } else { &there };
-        crate::scheduler::preferred(machine, choice.iter().copied()).map(str::to_string)
+        crate::hash::preferred(machine, choice.iter().copied()).map(str::to_string)
     }
 
     /// The controller that holds a machine, if it is up and hears its workers: a
--- a/tests/decisions/shards.rs
+++ b/tests/decisions/shards.rs
@@ -5,9 +5,9 @@
 
 use proptest::prelude::*;
 use serde_json::json;
+use shelfhoist::compaction;
 use shelfhoist::scheduler::{Candidates, MachineShardEdits};
 use shelfhoist::settings::Settings;
-use shelfhoist::state::compaction;
 use shelfhoist::state::encoding;
 use shelfhoist::state::keys::{FORMATS_KEY, machine_shard_key};
 use shelfhoist::state::records::*;
--- a/tests/limits/shards.rs
+++ b/tests/limits/shards.rs
@@ -5,10 +5,11 @@
 use serde_json::json;
 
 use super::setup::{LIMIT, next, production_view, spec, yard};
+use shelfhoist::compaction;
 use shelfhoist::scheduler::{self, Care, Hints, MachineShardEdits, Plan, Transaction, WaitReason};
+use shelfhoist::state::encoding;
 use shelfhoist::state::keys::{FORMATS_KEY, TYPES_KEY, job_key, zone_shard_key};
 use shelfhoist::state::replica::Replica;
-use shelfhoist::state::{compaction, encoding};
 use shelfhoist::wire::{Event, Kind, Write};
 
 use shelfhoist::state::records::*;
--- /dev/null
+++ b/tests/rule_checker/further.rs
@@ -0,0 +1,86 @@
+//! What follows from the protocol's text and has a name of its own.
+
+use serde_json::{Value, json};
+
+use crate::history::{
+    Cancel, Case, FIRST, Launch, Poll, Record, SECOND, Submit, WaitReason, beside, long_batch,
+    short_batch,
+};
+use crate::stand_ins::{Rule, after, job};
+
+pub fn further_rules() -> Vec<Case> {
+    vec![
+        Case {
+            name: "a start before the awaited job is done",
+            rule: Rule::TooEarly,
+            before: || {
+                vec![
+                    Submit(short_batch(1)),
+                    Submit(after(job(2, "batch", 1, 1.0), &[FIRST])),
+                    Launch(0, "job-000001/0"),
+                    WaitReason(4.0),
+                ]
+            },
+            lawful: || vec![WaitReason(2.0), Launch(1, "job-000002/0")],
+            violation: || vec![Launch(1, "job-000002/0")],
+        },
+        Case {
+            name: "a job after a cancelled one is still queued",
+            rule: Rule::Orphaned,
+            before: || {
+                beside(vec![
+                    Submit(long_batch(1)),
+                    Submit(after(job(2, "batch", 1, 1.0), &[FIRST])),
+                    Cancel(FIRST, 200, "aborted"),
+                    WaitReason(29.0),
+                    Poll(SECOND, 200, "queued"),
+                ])
+            },
+            lawful: || vec![WaitReason(2.0), Poll(SECOND, 200, "aborted")],
+            violation: || vec![WaitReason(2.0), Poll(SECOND, 200, "queued")],
+        },
+        Case {
+            name: "a task of a job that nobody submitted",
+            rule: Rule::UnknownJob,
+            before: || vec![Submit(long_batch(1))],
+            lawful: || vec![Launch(0, "job-000001/0")],
+            violation: || vec![Launch(0, "job-000002/0")],
+        },
+        Case {
+            name: "no task was started",
+            rule: Rule::NothingRan,
+            before: || vec![Submit(long_batch(1)), WaitReason(5.0)],
+            lawful: || vec![Launch(0, "job-000001/0")],
+            violation: Vec::new,
+        },
+        Case {
+            name: "a machine in two groups",
+            rule: Rule::Misplaced,
+            before: || {
+                beside(vec![Record(
+                    "sh/machine/a",
+                    machine_shard_of("host-000000"),
+                )])
+            },
+            lawful: || vec![Record("sh/machine/b", machine_shard_of("host-000001"))],
+            violation: || vec![Record("sh/machine/b", machine_shard_of("host-000000"))],
+        },
+        Case {
+            name: "a machine in two shards",
+            rule: Rule::Misplaced,
+            before: || beside(vec![Record("sh/zone/a", shard_of("host-000000"))]),
+            lawful: || vec![Record("sh/zone/b", shard_of("host-000001"))],
+            violation: || vec![Record("sh/zone/b", shard_of("host-000000"))],
+        },
+    ]
+}
+
+/// The stored record of a machine shard with one machine.
+fn machine_shard_of(machine: &str) -> Value {
+    json!({"m": {machine: {"h": "n0", "i": 1, "k": 1, "s": [1, 1], "f": "a", "t": "big"}}})
+}
+
+/// The stored record of a shard with one machine.
+fn shard_of(machine: &str) -> Value {
+    json!({"m": {machine: {"t": "big", "f": {"c": 8000, "g": 0, "m": 16000}}}})
+}
--- /dev/null
+++ b/tests/rule_checker/history.rs
@@ -0,0 +1,163 @@
+//! Histories that are played to the checker in two ways: lawful, and with a violation.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::time::sleep;
+
+use crate::stand_ins::{Rule, ScriptedController, Shape, World, in_world, job};
+
+pub const FIRST: &str = "job-000001";
+pub const SECOND: &str = "job-000002";
+
+/// The machines with even numbers are in zone a, the others in zone b.
+pub const MACHINES: usize = 4;
+
+/// One event of a history. A machine is its number; a stage may be empty where
+/// the status says all.
+pub enum Step {
+    Submit(Value),
+    /// A submission that gets this status.
+    SubmitTo(Value, u16),
+    /// A poll of a job that gets this status and stage.
+    Poll(&'static str, u16, &'static str),
+    /// A cancellation that gets this status and stage.
+    Cancel(&'static str, u16, &'static str),
+    Launch(usize, &'static str),
+    Stop(usize, &'static str),
+    /// A machine stands still for some seconds.
+    Hang(usize, f64),
+    /// A machine and all on it are gone.
+    Lose(usize),
+    /// A stored record.
+    Record(&'static str, Value),
+    /// Polls every 5 s, as a user's, of each job, for some seconds: job, status.
+    PollFor(f64, Vec<(&'static str, u16)>),
+    WaitReason(f64),
+}
+
+pub use Step::{
+    Cancel, Hang, Launch, Lose, Poll, PollFor, Record, Stop, Submit, SubmitTo, WaitReason,
+};
+
+/// A history that goes on in two ways.
+pub struct Case {
+    pub name: &'static str,
+    pub rule: Rule,
+    pub before: fn() -> Vec<Step>,
+    pub lawful: fn() -> Vec<Step>,
+    pub violation: fn() -> Vec<Step>,
+}
+
+pub async fn play(world: &Rc<World>, controller: &ScriptedController, steps: Vec<Step>) {
+    for step in steps {
+        match step {
+            Submit(job) => submit(world, controller, &job, 201).await,
+            SubmitTo(job, status) => submit(world, controller, &job, status).await,
+            Poll(id, status, stage) => {
+                controller.answer_next(status, stage);
+                world.stage(0, id).await;
+            }
+            Cancel(id, status, stage) => {
+                controller.answer_next(status, stage);
+                world.withdraw(0, id).await;
+            }
+            Launch(machine, task) => controller.order(machine, "launch", task).await,
+            Stop(machine, task) => controller.order(machine, "stop", task).await,
+            Hang(machine, seconds) => {
+                let name = format!("host-{machine:06}");
+                let worker = world.workers.borrow()[&name].0.clone();
+                worker.hang(Duration::from_secs_f64(seconds));
+            }
+            Lose(machine) => world.lose(&format!("host-{machine:06}")),
+            Record(key, value) => world.state.write(key, &value),
+            PollFor(seconds, jobs) => poll_for(world, controller, seconds, &jobs).await,
+            WaitReason(seconds) => sleep(Duration::from_secs_f64(seconds)).await,
+        }
+    }
+}
+
+pub async fn submit(world: &Rc<World>, controller: &ScriptedController, job: &Value, status: u16) {
+    world.remember(job);
+    controller.answer_next(status, "queued");
+    world.ask(0, "POST", "/submissions", Some(job)).await;
+}
+
+pub async fn poll_for(
+    world: &Rc<World>,
+    controller: &ScriptedController,
+    seconds: f64,
+    jobs: &[(&str, u16)],
+) {
+    const PERIOD_S: f64 = 5.0;
+    for _ in 0..(seconds / PERIOD_S) as usize {
+        for (id, status) in jobs {
+            controller.answer_next(*status, "queued");
+            world.stage(0, id).await;
+        }
+        sleep(Duration::from_secs_f64(PERIOD_S)).await;
+    }
+}
+
+/// What the checker reports of a history.
+pub async fn violations_of(zone_shards: [Vec<Step>; 2]) -> Vec<String> {
+    let shape = Shape {
+        controllers: 1,
+        locations: vec!["a"],
+        machines: MACHINES,
+        ..Shape::default()
+    };
+    let world = World::without_controllers(1, shape).await;
+    let controller = ScriptedController::serve(&world).await;
+    // The machines boot, and their leases are renewed.
+    sleep(Duration::from_secs(6)).await;
+    for steps in zone_shards {
+        play(&world, &controller, steps).await;
+    }
+    world.violations()
+}
+
+/// Plays the cases both ways.
+pub fn check(cases: Vec<Case>) {
+    for case in cases {
+        in_world(|| async {
+            let lawful = violations_of([(case.before)(), (case.lawful)()]).await;
+            assert_eq!(lawful, Vec::<String>::new(), "{}: lawful", case.name);
+            let reported = violations_of([(case.before)(), (case.violation)()]).await;
+            let prefix = format!("{}: ", case.rule.name());
+            assert!(!reported.is_empty(), "{}: nothing reported", case.name);
+            assert!(
+                reported.iter().all(|text| text.starts_with(&prefix)),
+                "{}: {reported:?}",
+                case.name
+            );
+        });
+    }
+}
+
+/// A batch whose tasks take long.
+pub fn long_batch(tasks: u32) -> Value {
+    job(1, "batch", tasks, 1000.0)
+}
+
+/// A batch whose tasks take five seconds.
+pub fn short_batch(tasks: u32) -> Value {
+    job(1, "batch", tasks, 5.0)
+}
+
+/// The job with one field altered.
+pub fn with(mut job: Value, field: &str, value: Value) -> Value {
+    job[field] = value;
+    job
+}
+
+/// A task of another job: so that something has run.
+pub fn unrelated_start() -> Vec<Step> {
+    vec![Submit(job(9, "daemon", 1, 0.0)), Launch(3, "job-000009/0")]
+}
+
+/// A history in which something unrelated has run.
+pub fn beside(steps: Vec<Step>) -> Vec<Step> {
+    unrelated_start().into_iter().chain(steps).collect()
+}
--- /dev/null
+++ b/tests/rule_checker/main.rs
@@ -0,0 +1,103 @@
+//! The rule checker of the stand-ins, fed with each violation: it reports the
+//! rule, and the same history without the violation passes. A scripted controller
+//! gives the orders and the answers, since the program must not.
+
+// Each file of tests uses a part of them.
+#[allow(dead_code)]
+#[path = "../stand_ins/mod.rs"]
+mod stand_ins;
+
+mod answers;
+mod further;
+mod history;
+mod tasks;
+
+use answers::{forgotten, invented, not_done, went_back};
+use further::further_rules;
+use history::{Cancel, FIRST, Launch, Submit, WaitReason, check, long_batch, violations_of};
+use stand_ins::{Rule, in_world};
+use tasks::{quota, ran_cancelled, ran_twice, wrong_place};
+
+#[test]
+fn a_task_on_two_machines_is_reported() {
+    check(ran_twice());
+}
+
+#[test]
+fn a_team_beyond_its_limit_is_reported() {
+    check(quota());
+}
+
+#[test]
+fn a_start_on_a_machine_that_is_not_allowed_is_reported() {
+    check(wrong_place());
+}
+
+#[test]
+fn a_task_that_outlives_its_cancellation_is_reported() {
+    check(ran_cancelled());
+}
+
+#[test]
+fn a_forgotten_job_is_reported() {
+    check(forgotten());
+}
+
+#[test]
+fn an_invented_job_is_reported() {
+    check(invented());
+}
+
+#[test]
+fn a_job_called_done_too_early_is_reported() {
+    check(not_done());
+}
+
+#[test]
+fn an_answer_that_goes_back_is_reported() {
+    check(went_back());
+}
+
+#[test]
+fn violations_of_the_further_rules_are_reported() {
+    check(further_rules());
+}
+
+#[test]
+fn every_rule_has_a_case() {
+    let cases = [
+        ran_twice(),
+        quota(),
+        wrong_place(),
+        ran_cancelled(),
+        forgotten(),
+        invented(),
+        not_done(),
+        went_back(),
+        further_rules(),
+    ];
+    let with_case: Vec<Rule> = cases.iter().flatten().map(|case| case.rule).collect();
+    for rule in Rule::ALL {
+        assert!(with_case.contains(&rule), "no case for {}", rule.name());
+    }
+}
+
+/// The checker goes on after a report: a second violation is found, too.
+#[test]
+fn what_follows_a_violation_is_still_judged() {
+    in_world(|| async {
+        let unknown = vec![Launch(0, "job-000002/0"), WaitReason(1.0)];
+        let second = vec![
+            Submit(long_batch(1)),
+            Launch(0, "job-000001/0"),
+            Cancel(FIRST, 200, "aborted"),
+            WaitReason(32.0),
+        ];
+        let reported = violations_of([unknown, second]).await;
+        let rules: Vec<&str> = reported
+            .iter()
+            .filter_map(|t| t.split(':').next())
+            .collect();
+        assert_eq!(rules, ["unknown_job", "ran_cancelled"], "{reported:?}");
+    });
+}
--- /dev/null
+++ b/tests/rule_checker/tasks.rs
@@ -0,0 +1,225 @@
+//! Tasks on machines: twice at once, beyond the limit, in the wrong place, after a cancellation.
+
+use serde_json::json;
+
+use crate::history::{
+    Cancel, Case, FIRST, Hang, Launch, Lose, Stop, Submit, WaitReason, long_batch, short_batch,
+    with,
+};
+use crate::stand_ins::{Rule, after, job};
+
+pub fn ran_twice() -> Vec<Case> {
+    vec![
+        Case {
+            name: "a second start elsewhere",
+            rule: Rule::RanTwice,
+            before: || vec![Submit(long_batch(1)), Launch(0, "job-000001/0")],
+            lawful: || vec![Stop(0, "job-000001/0"), Launch(1, "job-000001/0")],
+            violation: || vec![Launch(1, "job-000001/0")],
+        },
+        Case {
+            name: "a start after its machine is gone, or before",
+            rule: Rule::RanTwice,
+            before: || vec![Submit(long_batch(1)), Launch(0, "job-000001/0")],
+            lawful: || vec![Lose(0), Launch(2, "job-000001/0")],
+            violation: || vec![Launch(2, "job-000001/0"), Lose(0)],
+        },
+        Case {
+            name: "a machine that hangs keeps its task until its lease is over",
+            rule: Rule::RanTwice,
+            before: || {
+                vec![
+                    Submit(long_batch(1)),
+                    Launch(0, "job-000001/0"),
+                    Hang(0, 60.0),
+                    WaitReason(5.0),
+                ]
+            },
+            lawful: || vec![WaitReason(7.0), Launch(1, "job-000001/0")],
+            violation: || vec![Launch(1, "job-000001/0")],
+        },
+        Case {
+            name: "a task that has ended may start again",
+            rule: Rule::RanTwice,
+            before: || {
+                vec![
+                    Submit(short_batch(1)),
+                    Launch(0, "job-000001/0"),
+                    WaitReason(4.0),
+                ]
+            },
+            lawful: || vec![WaitReason(2.0), Launch(1, "job-000001/0")],
+            violation: || vec![Launch(1, "job-000001/0")],
+        },
+    ]
+}
+
+pub fn quota() -> Vec<Case> {
+    // Six tasks of two CPUs are the limit of team t, four that of team u.
+    vec![
+        Case {
+            name: "a task more than the team's limit allows",
+            rule: Rule::Quota,
+            before: || {
+                vec![
+                    Submit(long_batch(7)),
+                    Launch(0, "job-000001/0"),
+                    Launch(0, "job-000001/1"),
+                    Launch(1, "job-000001/2"),
+                    Launch(1, "job-000001/3"),
+                    Launch(2, "job-000001/4"),
+                    Launch(2, "job-000001/5"),
+                    WaitReason(1.0),
+                ]
+            },
+            lawful: || {
+                vec![
+                    Stop(0, "job-000001/0"),
+                    Launch(3, "job-000001/6"),
+                    WaitReason(1.0),
+                ]
+            },
+            violation: || vec![Launch(3, "job-000001/6"), WaitReason(1.0)],
+        },
+        Case {
+            name: "two jobs of one team, or of two",
+            rule: Rule::Quota,
+            before: || {
+                let big = |n| with(job(n, "daemon", 1, 0.0), "vcpus", json!(7.0));
+                vec![
+                    Submit(big(1)),
+                    Submit(big(2)),
+                    Submit(with(big(3), "crew", json!("u"))),
+                    Launch(0, "job-000001/0"),
+                ]
+            },
+            lawful: || vec![Launch(1, "job-000003/0"), WaitReason(1.0)],
+            violation: || vec![Launch(1, "job-000002/0"), WaitReason(1.0)],
+        },
+    ]
+}
+
+pub fn wrong_place() -> Vec<Case> {
+    vec![
+        Case {
+            name: "a machine type that is not allowed",
+            rule: Rule::WrongPlace,
+            before: || {
+                vec![
+                    Submit(with(long_batch(1), "grades", json!(["small"]))),
+                    Submit(with(
+                        job(2, "batch", 1, 9.0),
+                        "grades",
+                        json!(["small", "big"]),
+                    )),
+                ]
+            },
+            lawful: || vec![Launch(0, "job-000002/0")],
+            violation: || vec![Launch(0, "job-000001/0")],
+        },
+        Case {
+            name: "a zone that is not allowed",
+            rule: Rule::WrongPlace,
+            before: || vec![Submit(with(long_batch(1), "yard", json!("b")))],
+            lawful: || vec![Launch(1, "job-000001/0")],
+            violation: || vec![Launch(0, "job-000001/0")],
+        },
+        Case {
+            name: "two zones of a job that must be in one",
+            rule: Rule::WrongPlace,
+            before: || {
+                vec![
+                    Submit(with(long_batch(2), "same_place", json!(true))),
+                    Launch(0, "job-000001/0"),
+                ]
+            },
+            lawful: || vec![Launch(2, "job-000001/1")],
+            violation: || vec![Launch(1, "job-000001/1")],
+        },
+        Case {
+            name: "more than half, rounded up, in one zone",
+            rule: Rule::WrongPlace,
+            before: || {
+                vec![
+                    Submit(with(long_batch(3), "scatter", json!(true))),
+                    Launch(0, "job-000001/0"),
+                    Launch(2, "job-000001/1"),
+                ]
+            },
+            lawful: || vec![Launch(1, "job-000001/2")],
+            violation: || vec![Launch(0, "job-000001/2")],
+        },
+    ]
+}
+
+pub fn ran_cancelled() -> Vec<Case> {
+    // `cancel_s` is 30.
+    vec![
+        Case {
+            name: "a task that stays on its machine",
+            rule: Rule::RanCancelled,
+            before: || {
+                vec![
+                    Submit(long_batch(1)),
+                    Launch(0, "job-000001/0"),
+                    Cancel(FIRST, 200, "aborted"),
+                    WaitReason(29.0),
+                ]
+            },
+            lawful: || vec![Stop(0, "job-000001/0"), WaitReason(3.0)],
+            violation: || vec![WaitReason(3.0)],
+        },
+        Case {
+            name: "a second confirmation gives no more time",
+            rule: Rule::RanCancelled,
+            before: || {
+                vec![
+                    Submit(long_batch(1)),
+                    Launch(0, "job-000001/0"),
+                    Cancel(FIRST, 200, "aborted"),
+                    WaitReason(20.0),
+                    Cancel(FIRST, 200, "aborted"),
+                    WaitReason(9.0),
+                ]
+            },
+            lawful: || vec![Stop(0, "job-000001/0"), WaitReason(3.0)],
+            violation: || vec![WaitReason(3.0)],
+        },
+        Case {
+            name: "a start",
+            rule: Rule::RanCancelled,
+            before: || {
+                vec![
+                    Submit(long_batch(1)),
+                    Cancel(FIRST, 200, "aborted"),
+                    WaitReason(29.0),
+                ]
+            },
+            lawful: || vec![Launch(0, "job-000001/0"), Stop(0, "job-000001/0")],
+            violation: || {
+                vec![
+                    WaitReason(2.0),
+                    Launch(0, "job-000001/0"),
+                    Stop(0, "job-000001/0"),
+                ]
+            },
+        },
+        Case {
+            name: "a task after a cancelled job",
+            rule: Rule::RanCancelled,
+            before: || {
+                vec![
+                    Submit(short_batch(1)),
+                    Submit(after(job(2, "daemon", 1, 0.0), &[FIRST])),
+                    Launch(0, "job-000001/0"),
+                    WaitReason(6.0),
+                    Launch(1, "job-000002/0"),
+                    Cancel(FIRST, 200, "aborted"),
+                    WaitReason(29.0),
+                ]
+            },
+            lawful: || vec![Stop(1, "job-000002/0"), WaitReason(3.0)],
+            violation: || vec![WaitReason(3.0)],
+        },
+    ]
+}
--- a/tests/shares/moves.rs
+++ b/tests/shares/moves.rs
@@ -187,3 +187,46 @@
         w.assert_kept();
     });
 }
+
+fn record<T: serde::de::DeserializeOwned>(w: &World, key: &str) -> T {
+    let value = w.state.value(key).expect("a record");
+    serde_json::from_value(value).expect("a readable record")
+}
+
+/// A split that cannot be read is made anew from what is booked: no job is touched, and the
+/// team's work goes on.
+#[test]
+fn a_split_that_cannot_be_read_is_made_anew() {
+    in_world(|| async {
+        let w = World::of(6, shape(3)).await;
+        let checker = Checker::watch(&w);
+        until_split(&checker).await;
+        let ids = services(&w, 1, 4, "t").await;
+        let giver = (0..3).find(|i| granted(&checker, "t", *i) >= 1.0);
+        let giver = giver.expect("a share");
+        let body = move_body("before", "t", giver, (giver + 1) % 3, 1.0);
+        assert_eq!(ask_move(&w, 0, &body).await.0, 200);
+        until("the move", 30.0, || !checker.is_moving()).await;
+        checker.assert_kept("");
+        // The checker reads what controllers write, not this.
+        w.state.observers.borrow_mut().clear();
+        w.state.write("sh/share/t", &json!("not a split"));
+        services(&w, 5, 8, "t").await;
+        assert!(ids.iter().all(|id| w.running(id) == 2));
+        let split: shares::Share = record(&w, "sh/share/t");
+        assert!(split.total().cpus.units() >= 48.0, "{split:?}");
+        assert_eq!((split.generation, split.settled), (1, 1));
+        let giver = (0..3).find(|i| split.granted_to(&format!("n{i}")).cpus.units() >= 1.0);
+        let giver = giver.expect("a share");
+        let body = move_body("after", "t", giver, (giver + 1) % 3, 1.0);
+        let (status, answer) = ask_move(&w, 0, &body).await;
+        assert_eq!(
+            (status, answer["moves"][0]["generation"].clone()),
+            (200, json!(2))
+        );
+        let pool: shares::Pool = record(&w, "sh/pool");
+        let splits = ["sh/share/t", "sh/share/u"].map(|key| record::<shares::Share>(&w, key));
+        assert_eq!(pool.granted, splits.iter().map(shares::Share::total).sum());
+        w.assert_kept();
+    });
+}
--- a/tests/stand_ins/controllers.rs
+++ b/tests/stand_ins/controllers.rs
@@ -57,7 +57,7 @@
         // A set of its own: all that the controller spawned ends with it.
         let set = LocalSet::new();
         set.spawn_local(async move {
-            let _ = node.run().await;
+            let _ = shelfhoist::controller::run(node).await;
         });
         let frozen = self.frozen[i].clone();
         self.controllers.borrow_mut()[i] = Some(spawn_local(Freezable { set, frozen }));
