The pool falls only where shares hold more than the machines that stay

Change: the capacity falls in the commit that drops the machines, and in a step of its own only where shares hold more than what stays; growth never goes into machines that are about to leave.

--- a/crates/shares/src/booking.rs
+++ b/crates/shares/src/booking.rs
@@ -139,7 +139,8 @@
     max_others: usize,
 ) -> Option<Pool> {
     let mut pool = draft.pool().unwrap_or_default();
-    pool.capacity = pool.capacity.max(&ledger.staying);
+    // Those that are about to leave no longer do, but for what is granted already.
+    pool.capacity = ledger.staying.max(&pool.granted);
     draft.set_pool(pool);
     if !pool.free().fits(&lacking) {
         shrink_others(draft, ledger, team, lacking, max_others);
--- a/src/accounting/reconcile.rs
+++ b/src/accounting/reconcile.rs
@@ -132,8 +132,9 @@
     settings.features.shares.enabled && nodes.all(|entry| entry.value.formats >= FORMATS_SHARES)
 }
 
-/// The pool is made once all machine shards count, and falls as machines leave; as they
-/// come it rises with the growth of shares.
+/// The pool is made once all machine shards count. It falls here only where shares hold more
+/// than the machines that stay have: else in the commit that takes a machine off the record.
+/// As machines come it rises with the growth of shares.
 fn pool_step(
     replica: &Replica,
     settings: &Settings,
@@ -148,7 +149,7 @@
     }
     let falls = ledger
         .pool
-        .is_none_or(|pool| !ledger.staying.fits(&pool.capacity));
+        .is_none_or(|pool| !ledger.staying.fits(&pool.granted));
     let change = adjust_capacity(ledger, settings.txn_ops()).filter(|_| falls)?;
     let mut parts = CommitParts::new(replica);
     parts.add_change(&change);
