Whether a split can be read is asked without building keys where all can be read

Cause: each look whether a commit has room built two keys, with shares off, too.

Change: nothing is looked up while no record is unreadable.

Measured: tests of shares, decisions and service pass.

--- a/src/state/replica/shares.rs
+++ b/src/state/replica/shares.rs
@@ -56,7 +56,8 @@
 
     /// Whether nothing is known of how a team's bookings count: none may be made.
     pub fn is_share_unreadable(&self, team: &str) -> bool {
-        self.is_split_unreadable(team) || self.is_unreadable(POOL_KEY)
+        !self.unreadable.is_empty()
+            && (self.is_split_unreadable(team) || self.is_unreadable(POOL_KEY))
     }
 
     /// Whether a team's split cannot be read.
