--- a/review/stand_ins/soak.py
+++ b/review/stand_ins/soak.py
@@ -137,6 +137,8 @@
 
 async def troubles(world, rng, until):
     state = world.state
+    now_and_then = lambda n, m, p, q: 0.45 if rng.random() < 0.05 else None
+    state.answer_delay = now_and_then
     while time.monotonic() < until:
         await asyncio.sleep(rng.uniform(1, 6))
         kind = rng.choice(["outage", "alone", "slow", "lost", "late_writes", "stop", "kill", "kill_all", "hang", "deaf",
@@ -156,7 +158,7 @@
         elif kind == "slow":
             state.answer_delay = lambda n, m, p, q: rng.choice([0, 0.02, 0.1, 0.45])
             await asyncio.sleep(span)
-            state.answer_delay = None
+            state.answer_delay = now_and_then
         elif kind == "lost":
             state.lose_answer = lambda n: rng.random() < 0.3
             await asyncio.sleep(span)
@@ -225,6 +227,11 @@
     deployment = s.sahkar_deployment()
     for team in deployment["teams"]:
         team["cpus"], team["cpus_max"] = 8.0, 24.0
+    if os.environ.get("SOAK_LIMITS"):
+        deployment["state"] = {"rps": 80.0, "write_rps": 30.0, "value_kb": 8.0, "txn_ops": 16,
+                               "next": {"rps": 60.0, "write_rps": 21.0, "value_kb": 2.0, "txn_ops": 4}}
+    if os.environ.get("SOAK_LEASE"):
+        deployment["workers"] = {"report_s": 3.0, "lease_s": 24.0, "gang_wait_s": 30.0, "gang_peer_s": 5.0, "cancel_s": 44.0}
     world = Soak(folder, record, deployment, s.SAHKAR_LOCATIONS, grades, offers, 1.5)
     world.told, world.asked_cancel, world.answered = {}, set(), {}
     world.peers_after_s = 3.0
@@ -234,7 +241,11 @@
         open_jobs = []
         running = [asyncio.ensure_future(troubles(world, rng, end - 60)) for _ in range(2)]
         number = 0
+        lower_at = time.monotonic() + 60
         while time.monotonic() < end - 60:
+            if os.environ.get("SOAK_LIMITS") and not world.state.lowered and time.monotonic() > lower_at:
+                record.write("TROUBLE the state service lowers its limits")
+                world.state.lowered = True
             number += 1
             running.append(asyncio.ensure_future(user(world, rng, number, open_jobs)))
             await asyncio.sleep(rng.uniform(0.2, 1.5))
--- a/review/stand_ins/stand_ins.py
+++ b/review/stand_ins/stand_ins.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import bisect
 import json
 import os
 import random
@@ -23,6 +24,7 @@
 HOST = "127.0.0.1"
 # "A request body can be at most 64 KiB. No line in a response to workers or users may exceed 64 KiB."
 BODY_LIMIT = 64 * 1024
+TAKEN_PORTS = set()
 
 
 # ---------------------------------------------------------------- record and HTTP
@@ -43,13 +45,21 @@
 
 
 def free_ports(count):
-    """Returns ports that are free at present, all different."""
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind((HOST, 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Returns ports that are free at present, all different. They lie below the range from
+    which the system takes ports for connections, so that nothing takes the port of a
+    controller while it is down."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in ports and port not in TAKEN_PORTS:
+            ports.append(port)
+            TAKEN_PORTS.add(port)
     return ports
 
 
@@ -157,6 +167,9 @@
         self.next_permit = 1
         self.outage = False
         self.changed = asyncio.Event()
+        self.sorted_keys, self.sorted_at = [], None
+        self.lowered = False  # the limits of state.next are in force
+        self.buckets = {}  # what is left of a second's worth of requests and of changes
         self.refused = set()  # nodes that alone get 503
         self.lose_answer = None  # function(node) -> True where a commit is carried out but not answered
         self.carry_out_late = None  # function(node) -> seconds after which a commit is carried out, unanswered
@@ -203,6 +216,9 @@
         path, query = query_of(target)
         if self.outage or node in self.refused:
             return 503, {"error": "outage"}
+        writes = len(json.loads(body)["writes"]) if path == "/commit" else 0
+        if not self.take("rps", 1) or not self.take("write_rps", writes):
+            return 429, {"error": "too many requests"}
         if path == "/commit" and self.carry_out_late:
             late = self.carry_out_late(node)
             if late:
@@ -216,8 +232,9 @@
             return None
         if self.answer_delay:
             delay = self.answer_delay(node, method, path, query)
-            if delay:
+            if delay and path == "/store":
                 self.world.record.write(f"state service: answer to {node} {method} {target} at revision {self.rev} takes {delay} s")
+            if delay:
                 await asyncio.sleep(delay)
         if path == "/commit":
             request = json.loads(body)
@@ -225,6 +242,20 @@
             self.world.record.write(f"state service: {node} commits {changed}: {answer[0]} {json.dumps(answer[1])}")
         return answer
 
+    def limits(self):
+        limits = dict(self.world.deployment["state"])
+        following = limits.pop("next", None) or {}
+        return limits | following if self.lowered else limits
+
+    def take(self, name, count):
+        """Takes from a second's worth of requests or changes, if there is as much left."""
+        rate, now = self.limits()[name], time.monotonic()
+        left, at = self.buckets.get(name, (rate, now))
+        left = min(rate, left + (now - at) * rate)
+        enough = left >= count
+        self.buckets[name] = (left - count if enough else left, now)
+        return enough
+
     def _commit_late(self, node, request):
         answer = self._commit(request)
         self.world.record.write(f"state service: a commit of {node} is carried out late: {answer[0]}")
@@ -261,7 +292,7 @@
         return 400, {"error": "malformed"}
 
     def _commit(self, request):
-        limits = self.world.deployment["state"]
+        limits = self.limits()
         writes, guards = request.get("writes", []), request.get("guards", [])
         if len(writes) > limits["txn_ops"] or len(guards) > 4 * limits["txn_ops"]:
             return 400, {"error": "too many"}
@@ -280,7 +311,12 @@
     def _list(self, query):
         prefix, after = query.get("prefix", ""), query.get("after", "")
         limit = min(int(query.get("limit", "1000")), 1000)
-        keys = sorted(k for k in self.store if k.startswith(prefix) and k > after)
+        if self.sorted_at != self.rev:
+            self.sorted_keys, self.sorted_at = sorted(self.store), self.rev
+        first = bisect.bisect_left(self.sorted_keys, prefix)
+        if after >= prefix:
+            first = bisect.bisect_right(self.sorted_keys, after)
+        keys = [k for k in self.sorted_keys[first:first + limit + 1] if k.startswith(prefix)]
         pairs = [{"key": k, "value": self.store[k][0], "stamp": self.store[k][1]} for k in keys[:limit]]
         return 200, {"pairs": pairs, "truncated": len(keys) > limit, "ledger_rev": self.rev}
 
@@ -668,6 +704,14 @@
         self.world.record.write(f"controller {self.name}: {signal.Signals(number).name}")
         self.process.send_signal(number)
 
+    def memory_mb(self):
+        """What the process holds without its program and libraries: its anonymous memory."""
+        try:
+            with open(f"/proc/{self.process.pid}/status", encoding="ascii") as file:
+                return next((int(l.split()[1]) / 1024 for l in file if l.startswith("RssAnon")), 0.0)
+        except OSError:
+            return 0.0
+
     def kill(self):
         if self.process and self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
