--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,12 @@
 #!/bin/sh
 # Runs case 2 once: exit 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-# TROUBLE=0 does the same without the disruption.
+# TROUBLE=0 does the same without the disruption. What was sent, answered and run goes to
+# record.txt beside this script.
 cd "$(dirname "$0")" || exit 2
-[ -x ../../target/release/shelfhoist ] || { echo "build the program first" >&2; exit 2; }
-exec python3 case.py
+sh ../build.sh || exit 2
+python3 case.py
+case $? in
+0) exit 0 ;;
+3) exit 1 ;;
+*) exit 2 ;;
+esac
--- a/review/stand_ins/stand_ins.py
+++ b/review/stand_ins/stand_ins.py
@@ -17,6 +17,8 @@
 import signal
 import socket
 import subprocess
+import sys
+import tempfile
 import time
 import tomllib
 
@@ -929,9 +931,15 @@
 SAHKAR_LOCATIONS = ["navrangpura", "alkapuri", "navrangpura"]
 
 
+# What a case's script returns where a rule was broken. The interpreter itself returns 1
+# where the script fails, so run.sh tells the two apart.
+EXIT_BROKEN, EXIT_HELD, EXIT_CANNOT_RUN = 3, 0, 2
+
+
 def run_case(folder, play):
-    """Runs `play(world_factory, trouble)`; returns the exit code of the case."""
-    import tempfile
+    """Runs `play(world_factory, trouble)`; returns the exit code of the case's script."""
+    # Whoever ends the script by a signal ends the controllers with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_CANNOT_RUN))
     file, began = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8"), time.monotonic()
     record = Record(file, began)
     trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -953,15 +961,15 @@
 
         try:
             asyncio.run(whole())
-            code = 1 if any(w.broken for w in worlds) else 0
+            code = EXIT_BROKEN if any(w.broken for w in worlds) else EXIT_HELD
         except CannotRun as error:
             record.write(f"the case could not run: {error}")
-            code = 2
+            code = EXIT_CANNOT_RUN
         except asyncio.TimeoutError:
             record.write("the case could not run: out of time")
-            code = 1 if any(w.broken for w in worlds) else 2
+            code = EXIT_BROKEN if any(w.broken for w in worlds) else EXIT_CANNOT_RUN
         finally:
             for world in worlds:
                 world.stop()
-    record.write(f"exit code {code}")
+    record.write({EXIT_BROKEN: "the rule was broken", EXIT_HELD: "the rule held"}.get(code, "no result"))
     return code
