Review: a worker whose lease is over has no tasks, whether it hangs or not

The stand-ins judged a task of a machine that goes on after its lease as still there until the next look at the lease, up to 50 ms later.

--- a/review/stand_ins/stand_ins.py
+++ b/review/stand_ins/stand_ins.py
@@ -490,8 +490,9 @@
 
     def on_machine(self, board):
         task = self.tasks.get(board)
-        if self.hung and time.monotonic() - self.lease_from > self.world.workers_settings["lease_s"]:
-            # It kills its tasks before it does anything else.
+        over = time.monotonic() - (self.lease_from or time.monotonic())
+        if over > self.world.workers_settings["lease_s"]:
+            # It kills its tasks before it does anything else, also where it hung.
             return False
         return task is not None and task.stage in ("waiting", "running", "flushing")
 
@@ -966,7 +967,7 @@
             record.write(f"the case could not run: {error}")
             code = EXIT_CANNOT_RUN
         except asyncio.TimeoutError:
-            record.write("the case could not run: out of time")
+            record.write("out of time")
             code = EXIT_BROKEN if any(w.broken for w in worlds) else EXIT_CANNOT_RUN
         finally:
             for world in worlds:
