Review: a run that is ended ends what it started, and answers 2

Ended alone, the shell of run.sh left the script and its controllers running until the case was over, and answered 143. It now passes the signal on, and the system ends the controllers with their script.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,12 @@
 # record.txt beside this script.
 cd "$(dirname "$0")" || exit 2
 sh ../build.sh || exit 2
-python3 case.py
+# Whoever ends this script ends what it started.
+script=
+trap '[ -z "$script" ] || { kill "$script"; wait "$script"; } 2>/dev/null; exit 2' HUP INT TERM
+python3 case.py &
+script=$!
+wait "$script"
 case $? in
 0) exit 0 ;;
 3) exit 1 ;;
--- a/review/stand_ins/stand_ins.py
+++ b/review/stand_ins/stand_ins.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import bisect
+import ctypes
 import json
 import os
 import random
@@ -673,6 +674,12 @@
 # ---------------------------------------------------------------- controllers
 
 
+def end_with_parent():
+    """Asks the system to end this process when the script that started it ends, however."""
+    PR_SET_PDEATHSIG = 1
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Node:
     """One controller process."""
 
@@ -700,7 +707,7 @@
         log = open(os.path.join(self.world.folder, f"{self.name}.log"), "ab")
         environment = dict(os.environ, LOG_LEVEL=os.environ.get("REVIEW_LOG_LEVEL", "debug"))
         self.process = subprocess.Popen(command + [path], cwd=ROOT, stderr=log, stdout=log,
-                                        stdin=subprocess.DEVNULL, env=environment)
+                                        stdin=subprocess.DEVNULL, env=environment, preexec_fn=end_with_parent)
         self.world.record.write(f"controller {self.name}: started, process {self.process.pid}")
 
     def signal(self, number):
@@ -940,7 +947,8 @@
 def run_case(folder, play):
     """Runs `play(world_factory, trouble)`; returns the exit code of the case's script."""
     # Whoever ends the script by a signal ends the controllers with it.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_CANNOT_RUN))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(EXIT_CANNOT_RUN))
     file, began = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8"), time.monotonic()
     record = Record(file, began)
     trouble = os.environ.get("TROUBLE", "1") != "0"
