A full read keeps this controller's newer commits

Cause: after half a lease without an answer the state is read anew in pages. A commit of this controller that was carried out after a page was read, and answered before the page arrived, was laid over the old replica and acted on; Replica::reload then replaced the whole replica by the pages, so the released booking was there again, and nothing in the launch check could tell.

Mend: the replica keeps the last write of each key that its own commits made above its revision (local_writes, which takes the place of the list of removals), and lays them over the pages. The log of a full read says how many there were.

--- a/src/controller/watch.rs
+++ b/src/controller/watch.rs
@@ -79,7 +79,8 @@
         }
     }
 
-    /// Reads all records again and replaces the contents of the replica.
+    /// Reads all records again and replaces the contents of the replica, except for the
+    /// commits of this controller that are newer than the read.
     async fn load(&self) -> Result<(), StateClientError> {
         let mut pairs = Vec::new();
         let mut after = String::new();
@@ -97,11 +98,6 @@
                 break;
             }
         }
-        tracing::info!(
-            keys = pairs.len(),
-            revision = oldest_revision,
-            "state loaded"
-        );
         // Pages that were read at different revisions may together contain a deleted key or
         // a part of a commit, such as bookings without the zone shard that they changed.
         // Applying the events since the oldest page corrects both before any decision is
@@ -114,11 +110,18 @@
             ),
             false => None,
         };
+        let keys = pairs.len();
         let mut replica = self.replica.borrow_mut();
         replica.reload(pairs, oldest_revision);
         if let Some(answer) = events_since {
             replica.apply_events(answer.events, answer.revision);
         }
+        tracing::info!(
+            keys,
+            revision = replica.revision,
+            local_writes = replica.local_write_count(),
+            "state loaded"
+        );
         drop(replica);
         self.notify_replica_changed();
         Ok(())
--- a/src/state/replica/mod.rs
+++ b/src/state/replica/mod.rs
@@ -9,6 +9,7 @@
 //! | module | task |
 //! | --- | --- |
 //! | `updates` | updates of records: full reads, the watch, this controller's commits |
+//! | `local_writes` | this controller's writes that are newer than `revision` |
 //! | `jobs`, `accepted_batches`, `machine_shards`, `plan_slots` | indexes that are derived from updated records |
 //! | `unreadable` | records that cannot be read |
 //! | `queries`, `shares` | lookups in the replica |
@@ -16,6 +17,7 @@
 
 mod accepted_batches;
 mod jobs;
+mod local_writes;
 mod machine_shards;
 mod plan_slots;
 mod queries;
@@ -33,6 +35,8 @@
 use ::shares::{MoveRecord, Pool, Share};
 use foldhash::HashMap;
 
+use local_writes::LocalWrites;
+
 use crate::dependencies::DependencyGraph;
 use crate::state::names::NameTable;
 use crate::state::records::{
@@ -112,9 +116,9 @@
     machine_sums: Cell<Option<MachineSums>>,
     /// Resources that a team's bookings take of each share, by team.
     share_booked: HashMap<String, shares::BookedByShare>,
-    /// Versions of removals by this controller that the watch has not reached yet, by key.
-    /// They prevent an older event of the watch from adding the record again.
-    removed: HashMap<String, u64>,
+    /// Writes of this controller that the replica contains ahead of the watch. No older event
+    /// or full read replaces them.
+    local_writes: LocalWrites,
     /// Numbers of the images of tasks that were booked on a machine, the latest last, by machine
     /// number. The images are only a hint for placement: they are not stored in the state
     /// service but derived from the bookings.
--- a/src/state/replica/updates.rs
+++ b/src/state/replica/updates.rs
@@ -48,10 +48,14 @@
 }
 
 impl Replica {
-    /// Replaces all records of the replica by those of a full read, and rebuilds the indexes.
-    /// The assigned numbers, the hints for placement and the settings are kept.
+    /// Replaces all records of the replica by those of a full read at `revision`, and rebuilds
+    /// the indexes. The commits of this controller that are newer than the read are applied
+    /// again: their effects, such as released bookings, may have been acted on already. The
+    /// assigned numbers, the hints for placement and the settings are kept.
     pub fn reload(&mut self, pairs: Vec<StoredRecord>, revision: u64) {
         let old = std::mem::take(self);
+        let mut local_writes = old.local_writes;
+        local_writes.discard_through(revision);
         let mut changes = old.changes;
         changes.machines.extend(old.machines.into_keys());
         *self = Replica {
@@ -78,6 +82,10 @@
         // be newer than `revision`, the revision of the first page. The watch continues from
         // `revision` and repeats their changes; events that are not newer than an entry are
         // ignored.
+        for (key, write) in local_writes.in_commit_order() {
+            self.set(key, write.version, write.value.as_deref());
+        }
+        self.local_writes = local_writes;
     }
 
     /// Applies events of the watch.
@@ -90,25 +98,29 @@
             }
         }
         self.revision = self.revision.max(revision);
-        let reached = self.revision;
-        self.removed.retain(|_, version| *version > reached);
+        self.local_writes.discard_through(self.revision);
     }
 
     /// Applies the writes of a successful commit of this controller, ahead of the watch.
     pub fn apply_commit(&mut self, writes: &[Write], revision: u64) {
         for write in writes {
-            match write {
-                Write::Put { key, value, .. } => self.set(key, revision, Some(value)),
-                Write::Delete { key } => {
-                    self.set(key, revision, None);
-                    if revision > self.revision {
-                        self.removed.insert(key.clone(), revision);
-                    }
-                }
+            let value = match write {
+                Write::Put { value, .. } => Some(value.as_ref()),
+                Write::Delete { .. } => None,
+            };
+            self.set(write.key(), revision, value);
+            if revision > self.revision {
+                self.local_writes.record(write, revision);
             }
         }
     }
 
+    /// Returns the number of keys with a commit of this controller that is newer than the
+    /// replica's revision.
+    pub fn local_write_count(&self) -> usize {
+        self.local_writes.len()
+    }
+
     /// Applies an update of the record under a key, unless it is outdated.
     fn set(&mut self, key: &str, version: u64, value: Option<&RawValue>) {
         if self.is_outdated(key, version) {
@@ -132,11 +144,12 @@
         self.set_record(table, update);
     }
 
-    /// Returns whether the replica knows of a removal of this key, or of an unreadable record
-    /// under the key, that is as new as `version` or newer.
+    /// Returns whether the replica knows of a local write of this key, or of an unreadable
+    /// record under the key, that is as new as `version` or newer.
     fn is_outdated(&self, key: &str, version: u64) -> bool {
-        let is_known = |known: Option<&u64>| known.is_some_and(|known| *known >= version);
-        is_known(self.removed.get(key)) || is_known(self.unreadable.get(key))
+        let written = self.local_writes.version_of(key);
+        let unreadable = self.unreadable.get(key).copied();
+        written.max(unreadable) >= Some(version)
     }
 
     /// Updates the list of records that exceed the lower size limit, if one is announced.
--- a/tests/stand_ins/cloud.rs
+++ b/tests/stand_ins/cloud.rs
@@ -135,7 +135,7 @@
 
     /// Boots a machine with the type and zone of a rental request, and returns its name. The
     /// worker of the machine starts, unless the test makes boots fail in this zone.
-    pub(super) fn boot_machine(self: &Rc<Self>, body: &Value) -> String {
+    pub fn boot_machine(self: &Rc<Self>, body: &Value) -> String {
         let number = self.rented_machine_count.get();
         self.rented_machine_count.set(number + 1);
         let name = format!("host-{number:06}");
--- a/tests/stand_ins/state_service/faults.rs
+++ b/tests/stand_ins/state_service/faults.rs
@@ -1,6 +1,6 @@
 //! The faults that a test injects into the state service.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::Rng;
@@ -25,6 +25,9 @@
     /// that time when it arrives. If the set is empty, the responses to all controllers are
     /// delayed by random times.
     pub delayed_controllers: BTreeSet<usize>,
+    /// Time by which each page of a read is outdated when it arrives, by the index of the
+    /// controller that reads. Commits and watches are not delayed, so they overtake the page.
+    pub page_delays: BTreeMap<usize, Duration>,
 }
 
 /// Fault mode of the state service.
@@ -45,6 +48,13 @@
 }
 
 impl StateService {
+    /// Returns the time between the execution of a controller's read of a page and the
+    /// response.
+    pub(super) fn page_delay(&self, i: usize) -> Duration {
+        let troubles = self.fault_options.borrow();
+        troubles.page_delays.get(&i).copied().unwrap_or_default()
+    }
+
     /// Returns the delays before and after the execution of a request.
     pub(super) fn delays(&self, i: usize) -> (Duration, Duration) {
         let troubles = self.fault_options.borrow();
--- a/tests/stand_ins/state_service/mod.rs
+++ b/tests/stand_ins/state_service/mod.rs
@@ -170,7 +170,11 @@
             }
             let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
             let response = match (request.method.as_str(), request.path.as_str()) {
-                ("GET", "/store") => self.list(&request.query),
+                ("GET", "/store") => {
+                    let page = self.list(&request.query);
+                    sleep(self.page_delay(i)).await;
+                    page
+                }
                 ("GET", "/watch") => self.watch(i, &request.query).await,
                 ("GET", path) => self.read(path.trim_start_matches("/store/")),
                 ("POST", "/commit") if self.is_commit_refused(i, &body) => Response::empty(503),
--- a/tests/stand_ins/worker.rs
+++ b/tests/stand_ins/worker.rs
@@ -198,6 +198,16 @@
         }
     }
 
+    /// Makes the tasks that run on the machine end for this reason.
+    pub fn end_running_tasks(&self, exit_reason: ExitReason) {
+        let now = Instant::now();
+        for task in self.tasks.borrow_mut().values_mut() {
+            if task.exit_reason.is_none() && task.ends.is_none_or(|ends| ends > now) {
+                task.exit_reason = Some(exit_reason);
+            }
+        }
+    }
+
     /// Waits until the machine no longer hangs, then checks whether its lease has expired
     /// meanwhile.
     async fn wait_while_hung(&self, lease: Duration) {
