A late answer to a commit does not restore a removed record

Cause: the same as for the full read, on a related path: Replica::apply_commit laid the writes of an answered commit over the replica even where the watch had reached the commit's revision before the answer came. Where another controller, the compaction or the expiry of a state lease had removed the record in between, nothing in the replica was newer, and the record was there again until the next full read: an accepted batch, a provisioning request, a zone shard with its machines, the fleet leader's key. Commits about it were refused again and again, as its version was long gone. No rule can break by it: every commit is guarded by the version.

Mend: an answer at or below the replica's revision changes nothing; the replica holds that commit and all that came after it.

--- a/src/state/replica/updates.rs
+++ b/src/state/replica/updates.rs
@@ -101,17 +101,21 @@
         self.local_writes.discard_through(self.revision);
     }
 
-    /// Applies the writes of a successful commit of this controller, ahead of the watch.
+    /// Applies the writes of a successful commit of this controller, ahead of the watch. Does
+    /// nothing if the replica has reached the commit's revision before the answer arrived: it
+    /// then contains the commit and later changes, such as the removal of a record that the
+    /// commit has written.
     pub fn apply_commit(&mut self, writes: &[Write], revision: u64) {
+        if revision <= self.revision {
+            return;
+        }
         for write in writes {
             let value = match write {
                 Write::Put { value, .. } => Some(value.as_ref()),
                 Write::Delete { .. } => None,
             };
             self.set(write.key(), revision, value);
-            if revision > self.revision {
-                self.local_writes.record(write, revision);
-            }
+            self.local_writes.record(write, revision);
         }
     }
 
