--- a/src/controller/watch.rs
+++ b/src/controller/watch.rs
@@ -8,6 +8,7 @@
 
 use super::Controller;
 use crate::state::client::StateClientError;
+use crate::state::full_read::{FullRead, Snapshot};
 use crate::state::keys::PREFIX;
 
 /// Pause before a failed read is retried, before jitter.
@@ -82,40 +83,10 @@
     /// Reads all records again and replaces the contents of the replica, except for the
     /// commits of this controller that are newer than the read.
     async fn load(&self) -> Result<(), StateClientError> {
-        let mut pairs = Vec::new();
-        let mut after = String::new();
-        let mut oldest_revision = u64::MAX;
-        let mut newest_revision = 0;
-        loop {
-            let page = self.state_client.read_page(PREFIX, &after).await?;
-            oldest_revision = oldest_revision.min(page.revision);
-            newest_revision = newest_revision.max(page.revision);
-            if let Some(last) = page.records.last() {
-                after = last.key.clone();
-            }
-            pairs.extend(page.records);
-            if !page.has_more {
-                break;
-            }
-        }
-        // Pages that were read at different revisions may together contain a deleted key or
-        // a part of a commit, such as bookings without the zone shard that they changed.
-        // Applying the events since the oldest page corrects both before any decision is
-        // made.
-        let events_since = match newest_revision > oldest_revision {
-            true => Some(
-                self.state_client
-                    .watch(PREFIX, oldest_revision, Duration::ZERO)
-                    .await?,
-            ),
-            false => None,
-        };
-        let keys = pairs.len();
+        let snapshot = self.read_snapshot().await?;
+        let keys = snapshot.records.len();
         let mut replica = self.replica.borrow_mut();
-        replica.reload(pairs, oldest_revision);
-        if let Some(answer) = events_since {
-            replica.apply_events(answer.events, answer.revision);
-        }
+        replica.reload(snapshot);
         tracing::info!(
             keys,
             revision = replica.revision,
@@ -127,6 +98,25 @@
         Ok(())
     }
 
+    /// Reads all records, in pages. If the pages differ in revision, also reads the changes
+    /// since the first page.
+    async fn read_snapshot(&self) -> Result<Snapshot, StateClientError> {
+        let mut read = FullRead::default();
+        loop {
+            let page = self.state_client.read_page(PREFIX, read.last_key()).await?;
+            let has_more = page.has_more;
+            read.add_page(page);
+            if !has_more {
+                break;
+            }
+        }
+        let Some(after) = read.changes_needed_after() else {
+            return Ok(read.into_snapshot());
+        };
+        let watch = self.state_client.watch(PREFIX, after, Duration::ZERO);
+        Ok(read.into_snapshot_with(watch.await?))
+    }
+
     /// Waits for a change with one watch request, and applies it to the replica.
     async fn watch_once(&self) -> WatchEnd {
         let block = self.settings.worker_lease() / 4;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod commit;
 pub mod encoding;
+pub mod full_read;
 pub mod keys;
 pub mod names;
 pub mod record_bound;
--- a/src/state/replica/updates.rs
+++ b/src/state/replica/updates.rs
@@ -6,9 +6,10 @@
 
 use super::{Replica, Table, Versioned};
 use crate::state::encoding::is_compact_zone_shard;
+use crate::state::full_read::Snapshot;
 use crate::state::keys::PREFIX;
 use crate::state::records::Job;
-use crate::wire::{Event, StoredRecord, Write};
+use crate::wire::{Event, Write};
 
 /// Update of one record. An update without a value removes the record.
 #[derive(Clone, Copy)]
@@ -48,11 +49,12 @@
 }
 
 impl Replica {
-    /// Replaces all records of the replica by those of a full read at `revision`, and rebuilds
-    /// the indexes. The commits of this controller that are newer than the read are applied
-    /// again: their effects, such as released bookings, may have been acted on already. The
-    /// assigned numbers, the hints for placement and the settings are kept.
-    pub fn reload(&mut self, pairs: Vec<StoredRecord>, revision: u64) {
+    /// Replaces all records of the replica by those of a snapshot, and rebuilds the indexes.
+    /// The commits of this controller that are newer than the snapshot are applied again:
+    /// their effects, such as released bookings, may have been acted on already. The assigned
+    /// numbers, the hints for placement and the settings are kept.
+    pub fn reload(&mut self, snapshot: Snapshot) {
+        let Snapshot { records, revision } = snapshot;
         let old = std::mem::take(self);
         let mut local_writes = old.local_writes;
         local_writes.discard_through(revision);
@@ -75,13 +77,9 @@
             revision,
             ..Replica::default()
         };
-        for pair in pairs {
-            self.set(&pair.key, pair.version, Some(&pair.value));
+        for record in records {
+            self.set(&record.key, record.version, Some(&record.value));
         }
-        // The pages of a full read are read one after another, so records of later pages may
-        // be newer than `revision`, the revision of the first page. The watch continues from
-        // `revision` and repeats their changes; events that are not newer than an entry are
-        // ignored.
         for (key, write) in local_writes.in_commit_order() {
             self.set(key, write.version, write.value.as_deref());
         }
--- a/tests/decisions/dependencies.rs
+++ b/tests/decisions/dependencies.rs
@@ -10,6 +10,7 @@
 use shelfhoist::dependencies::EffectiveUrgency;
 use shelfhoist::scheduler::{self, AcceleratorProtection, Plan, Transaction};
 use shelfhoist::settings::Settings;
+use shelfhoist::state::full_read::Snapshot;
 use shelfhoist::state::keys::job_key;
 use shelfhoist::state::replica::Replica;
 
@@ -292,7 +293,8 @@
                     .expect("record"),
             );
         }
-        replica.reload(records, 9);
+        let revision = 9;
+        replica.reload(Snapshot { records, revision });
         check(&replica, "reload");
     }
 }
