--- a/src/state/replica/accepted_batches.rs
+++ b/src/state/replica/accepted_batches.rs
@@ -8,8 +8,8 @@
 use serde_json::value::RawValue;
 
 use super::Replica;
+use super::tables::{RecordUpdate, put_if_newer};
 use super::unreadable::parse;
-use super::updates::{RecordUpdate, put_if_newer};
 use crate::state::keys::job_key;
 use crate::state::records::{AcceptedBatch, Job, JobSpec};
 
--- a/src/state/replica/mod.rs
+++ b/src/state/replica/mod.rs
@@ -9,6 +9,7 @@
 //! | module | task |
 //! | --- | --- |
 //! | `updates` | updates of records: full reads, the watch, this controller's commits |
+//! | `tables` | the update of one record in the table of its kind |
 //! | `local_writes` | this controller's writes that are newer than `revision` |
 //! | `jobs`, `accepted_batches`, `machine_shards`, `plan_slots` | indexes that are derived from updated records |
 //! | `unreadable` | records that cannot be read |
@@ -22,6 +23,7 @@
 mod plan_slots;
 mod queries;
 mod shares;
+mod tables;
 mod unreadable;
 mod updates;
 mod writes;
