A full read keeps what an unreadable record does not replace

An unreadable version of a record does not replace a final job, the machine types or the formats when the watch delivers it; a full read dropped all of them. Until the record could be read again, users of a done job got 503, submissions 503, and records were written in the plain encoding. No trouble of the users' pages writes such a record; a program of a later version might.

Mend: after a full read the same rule applies as after an event (keep_last_readable).

unreadable_version_does_not_replace_a_final_or_permanent_record fails before: FullRead: (None, None, false, false), expected (Some(Done), Some(Cancelled), true, true).

--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -13,7 +13,7 @@
 use crate::controller::Controller;
 use crate::state::budget::RequestClass;
 use crate::state::client::StateClientError;
-use crate::state::keys::job_key;
+use crate::state::keys::job_id;
 use crate::workers;
 
 /// Runs placement rounds until the process ends. Each round records terminations and
@@ -148,7 +148,7 @@
 /// the same transaction would be refused again. The next commit writes fewer records. If a
 /// small commit has been refused too, the job whose record is too large is excluded.
 fn shrink_after_refusal(controller: &Controller, state: &mut RoundState, refused_key: &str) {
-    let job = refused_key.strip_prefix(&job_key(""));
+    let job = job_id(refused_key);
     if let Some(job) = job.filter(|_| state.small_commits) {
         state.exclude(job, Instant::now() + controller.settings.worker_lease());
     }
--- a/src/state/keys.rs
+++ b/src/state/keys.rs
@@ -24,6 +24,12 @@
     format!("{PREFIX}job/{id}")
 }
 
+/// Returns the id of the job whose record has this key; `None` if the key is not that of a
+/// job's record.
+pub fn job_id(key: &str) -> Option<&str> {
+    key.strip_prefix(PREFIX)?.strip_prefix("job/")
+}
+
 /// Returns the key of a team's record.
 pub fn team_key(name: &str) -> String {
     format!("{PREFIX}team/{name}")
--- a/src/state/replica/unreadable.rs
+++ b/src/state/replica/unreadable.rs
@@ -1,11 +1,13 @@
 //! Handles records that cannot be decoded: logs them and keeps their versions. A commit that
 //! overwrites such a record needs the version as a precondition.
 
+use foldhash::HashMap;
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 
-use super::Replica;
-use crate::state::keys::job_key;
+use super::{Replica, Versioned};
+use crate::state::keys::{FORMATS_KEY, TYPES_KEY, job_id, job_key};
+use crate::state::records::{Formats, Job, MachineTypesRecord};
 
 /// Parses a record's text. Logs the error and returns `None` if the text cannot be decoded.
 pub(super) fn parse<T: DeserializeOwned>(key: &str, value: &RawValue) -> Option<T> {
@@ -14,7 +16,35 @@
         .ok()
 }
 
+/// Records of the replica before a full read, from which those that can no longer be read are
+/// taken.
+pub(super) struct LastReadable {
+    pub(super) types: Versioned<MachineTypesRecord>,
+    pub(super) formats: Versioned<Formats>,
+    pub(super) jobs: HashMap<String, Versioned<Job>>,
+}
+
 impl Replica {
+    /// Keeps the last readable values of records that a full read returned in a form that
+    /// cannot be read, as for an event of the watch: those of records that are never removed,
+    /// and those of final jobs, which never become open again.
+    pub(super) fn keep_last_readable(&mut self, mut last: LastReadable) {
+        if self.is_unreadable(TYPES_KEY) {
+            self.types = last.types;
+            self.index_machine_types();
+        }
+        if self.is_unreadable(FORMATS_KEY) {
+            self.formats = last.formats;
+        }
+        let ids = self.unreadable.keys().filter_map(|key| job_id(key));
+        let known = ids.filter_map(|id| last.jobs.remove_entry(id));
+        let closed: Vec<(String, Versioned<Job>)> =
+            known.filter(|(_, entry)| !entry.value.is_open()).collect();
+        for (id, entry) in closed {
+            self.set_job(&id, entry.version, Some(entry.value));
+        }
+    }
+
     /// Parses a record's text. If the text cannot be decoded, logs the error, keeps the
     /// record's version and returns `None`.
     pub(super) fn read<T: DeserializeOwned>(
--- a/src/state/replica/updates.rs
+++ b/src/state/replica/updates.rs
@@ -5,6 +5,7 @@
 
 use super::Replica;
 use super::tables::RecordUpdate;
+use super::unreadable::LastReadable;
 use crate::state::full_read::Snapshot;
 use crate::state::keys::PREFIX;
 use crate::wire::{Event, Write};
@@ -13,7 +14,8 @@
     /// Replaces all records of the replica by those of a snapshot, and rebuilds the indexes.
     /// The commits of this controller that are newer than the snapshot are applied again:
     /// their effects, such as released bookings, may have been acted on already. The assigned
-    /// numbers, the hints for placement and the settings are kept.
+    /// numbers, the hints for placement and the settings are kept, and of the records that have
+    /// become unreadable those that `keep_last_readable` names.
     pub fn reload(&mut self, snapshot: Snapshot) {
         let Snapshot { records, revision } = snapshot;
         let old = std::mem::take(self);
@@ -45,6 +47,11 @@
             self.set(key, write.version, write.value.as_deref());
         }
         self.local_writes = local_writes;
+        self.keep_last_readable(LastReadable {
+            types: old.types,
+            formats: old.formats,
+            jobs: old.jobs,
+        });
     }
 
     /// Applies events of the watch.
--- a/tests/replica/main.rs
+++ b/tests/replica/main.rs
@@ -5,3 +5,4 @@
 mod late_answers;
 mod random_histories;
 mod service;
+mod unreadable_records;
