Review of the mend: permanent records by their own rule, events read in one place

Read once more, whole. keep_last_readable repeated for the machine types and the formats what set_permanent does already: a full read now starts from their last values, and set_permanent decides, as for an event. What remains is the final jobs (keep_unreadable_final_jobs). A full read and the watch took an event's key and value apart each for itself; Event::key and new_value do it. No behaviour changes towards a state service that keeps to the protocol.

--- a/src/state/full_read.rs
+++ b/src/state/full_read.rs
@@ -2,7 +2,8 @@
 //!
 //! The pages are read one after another, so each may have a newer revision than the one before.
 //! Together they may contain a record that was deleted, or a part of a commit, such as bookings
-//! without the zone shard that they changed. The changes since the first page correct this.
+//! without the zone shard that they changed. The changes since the oldest page
+//! correct this.
 
 use std::collections::HashMap;
 
@@ -23,17 +24,18 @@
     records: Vec<StoredRecord>,
     /// Last key of the pages; empty before the first record.
     last_key: String,
-    /// Revision of the first page; `None` before it.
-    first_revision: Option<u64>,
-    /// Revision of the last page.
-    last_revision: u64,
+    /// Lowest revision of a page; `None` before the first page.
+    oldest_revision: Option<u64>,
+    /// Highest revision of a page.
+    newest_revision: u64,
 }
 
 impl FullRead {
     /// Adds the next page.
     pub fn add_page(&mut self, page: StoredRecordPage) {
-        self.first_revision.get_or_insert(page.revision);
-        self.last_revision = page.revision;
+        let oldest = self.oldest_revision.unwrap_or(page.revision);
+        self.oldest_revision = Some(oldest.min(page.revision));
+        self.newest_revision = self.newest_revision.max(page.revision);
         if let Some(last) = page.records.last() {
             self.last_key.clone_from(&last.key);
         }
@@ -48,15 +50,15 @@
     /// Returns the revision after which the changes are needed to complete the snapshot, or
     /// `None` if all pages have the same revision.
     pub fn changes_needed_after(&self) -> Option<u64> {
-        self.first_revision
-            .filter(|first| *first != self.last_revision)
+        self.oldest_revision
+            .filter(|oldest| *oldest < self.newest_revision)
     }
 
     /// Returns the snapshot at the revision of the pages. They must have the same revision.
     pub fn into_snapshot(self) -> Snapshot {
         Snapshot {
             records: self.records,
-            revision: self.last_revision,
+            revision: self.newest_revision,
         }
     }
 
@@ -80,16 +82,12 @@
 /// Returns the key that an event changes, with the new record, or `None` in its place if the
 /// record was removed.
 fn changed_record(event: Event) -> Option<(String, Option<StoredRecord>)> {
-    let version = event.version;
-    match (event.set, event.remove) {
-        (Some(key), _) => {
-            let record = event.value.map(|value| StoredRecord {
-                key: key.clone(),
-                value,
-                version,
-            });
-            Some((key, record))
-        }
-        (None, removed) => removed.map(|key| (key, None)),
-    }
+    let key = event.key()?.to_string();
+    let new_value = event.value.filter(|_| event.set.is_some());
+    let record = new_value.map(|value| StoredRecord {
+        key: key.clone(),
+        value,
+        version: event.version,
+    });
+    Some((key, record))
 }
--- a/src/state/replica/unreadable.rs
+++ b/src/state/replica/unreadable.rs
@@ -6,8 +6,8 @@
 use serde_json::value::RawValue;
 
 use super::{Replica, Versioned};
-use crate::state::keys::{FORMATS_KEY, TYPES_KEY, job_id, job_key};
-use crate::state::records::{Formats, Job, MachineTypesRecord};
+use crate::state::keys::{job_id, job_key};
+use crate::state::records::Job;
 
 /// Parses a record's text. Logs the error and returns `None` if the text cannot be decoded.
 pub(super) fn parse<T: DeserializeOwned>(key: &str, value: &RawValue) -> Option<T> {
@@ -16,28 +16,15 @@
         .ok()
 }
 
-/// Records of the replica before a full read, from which those that can no longer be read are
-/// taken.
-pub(super) struct LastReadable {
-    pub(super) types: Versioned<MachineTypesRecord>,
-    pub(super) formats: Versioned<Formats>,
-    pub(super) jobs: HashMap<String, Versioned<Job>>,
-}
-
 impl Replica {
-    /// Keeps the last readable values of records that a full read returned in a form that
-    /// cannot be read, as for an event of the watch: those of records that are never removed,
-    /// and those of final jobs, which never become open again.
-    pub(super) fn keep_last_readable(&mut self, mut last: LastReadable) {
-        if self.is_unreadable(TYPES_KEY) {
-            self.types = last.types;
-            self.index_machine_types();
-        }
-        if self.is_unreadable(FORMATS_KEY) {
-            self.formats = last.formats;
-        }
+    /// Keeps the jobs of the replica before a full read that were final and whose records can
+    /// no longer be read. A final job never becomes open again.
+    pub(super) fn keep_unreadable_final_jobs(
+        &mut self,
+        mut before: HashMap<String, Versioned<Job>>,
+    ) {
         let ids = self.unreadable.keys().filter_map(|key| job_id(key));
-        let known = ids.filter_map(|id| last.jobs.remove_entry(id));
+        let known = ids.filter_map(|id| before.remove_entry(id));
         let closed: Vec<(String, Versioned<Job>)> =
             known.filter(|(_, entry)| !entry.value.is_open()).collect();
         for (id, entry) in closed {
--- a/src/state/replica/updates.rs
+++ b/src/state/replica/updates.rs
@@ -5,7 +5,6 @@
 
 use super::Replica;
 use super::tables::RecordUpdate;
-use super::unreadable::LastReadable;
 use crate::state::full_read::Snapshot;
 use crate::state::keys::PREFIX;
 use crate::wire::{Event, Write};
@@ -14,8 +13,8 @@
     /// Replaces all records of the replica by those of a snapshot, and rebuilds the indexes.
     /// The commits of this controller that are newer than the snapshot are applied again:
     /// their effects, such as released bookings, may have been acted on already. The assigned
-    /// numbers, the hints for placement and the settings are kept, and of the records that have
-    /// become unreadable those that `keep_last_readable` names.
+    /// numbers, the hints for placement and the settings are kept. As for an event of the
+    /// watch, an unreadable version does not replace a final job or a permanent record.
     pub fn reload(&mut self, snapshot: Snapshot) {
         let Snapshot { records, revision } = snapshot;
         let old = std::mem::take(self);
@@ -32,6 +31,9 @@
             classes: old.classes,
             class_numbers: old.class_numbers,
             latest_gpu_spec: old.latest_gpu_spec,
+            // These records are never removed, and an unreadable version does not replace them.
+            types: old.types,
+            formats: old.formats,
             compact_limit: old.compact_limit,
             slo_classes: old.slo_classes,
             changes,
@@ -47,20 +49,15 @@
             self.set(key, write.version, write.value.as_deref());
         }
         self.local_writes = local_writes;
-        self.keep_last_readable(LastReadable {
-            types: old.types,
-            formats: old.formats,
-            jobs: old.jobs,
-        });
+        self.keep_unreadable_final_jobs(old.jobs);
     }
 
     /// Applies events of the watch.
     pub fn apply_events(&mut self, events: Vec<Event>, revision: u64) {
         for event in events {
-            match (&event.set, &event.remove) {
-                (Some(key), _) => self.set(key, event.version, event.value.as_deref()),
-                (None, Some(key)) => self.set(key, event.version, None),
-                (None, None) => tracing::debug!("watch event without a key"),
+            match event.key() {
+                Some(key) => self.set(key, event.version, event.new_value()),
+                None => tracing::debug!("watch event without a key"),
             }
         }
         self.revision = self.revision.max(revision);
--- a/src/wire/state_service.rs
+++ b/src/wire/state_service.rs
@@ -142,6 +142,16 @@
             version,
         }
     }
+
+    /// Returns the key that was set or removed; `None` if the event is malformed.
+    pub fn key(&self) -> Option<&str> {
+        self.set.as_deref().or(self.remove.as_deref())
+    }
+
+    /// Returns the new value of the key, or `None` if the key was removed.
+    pub fn new_value(&self) -> Option<&RawValue> {
+        self.value.as_deref().filter(|_| self.set.is_some())
+    }
 }
 
 /// Response to `GET /watch`.
