Stand-ins refuse messages over 64 KiB, and the rule checker reports them

The stand-ins took heartbeats, answers and commands of any size, so that no test could see a message over the limit of PROTOCOL. Now every request to a stand-in, every heartbeat, each line of an answer to workers or users, and each status in a worker's answer is measured. What is over the limit is refused, and counts as a broken rule (message_size) in all tests. The server's limit of bodies is a field of ServerLimits, so that the stand-ins can see what they refuse; the controllers' value is the same as before.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::accounting;
 use crate::controller::Controller;
-use crate::http::{Request, Response, ServerLimits, query_value};
+use crate::http::{BODY_LIMIT, Request, Response, ServerLimits, query_value};
 use crate::introspection;
 use crate::net::Listener;
 use crate::state::client::StateClientError;
@@ -49,6 +49,7 @@
 pub async fn serve(controller: Rc<Controller>, listener: Listener) {
     let limits = ServerLimits {
         max_connections: controller.settings.served_connections(),
+        max_body_bytes: BODY_LIMIT,
         idle_timeout: controller.settings.worker_lease() * 4,
         request_timeout: REQUEST_TIMEOUT,
         // Workers' connections are kept open in preference to others. There is one for each
--- a/src/http/message.rs
+++ b/src/http/message.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::{BODY_LIMIT, CallError, HEAD_LIMIT, MAX_HEADERS};
+use super::{CallError, HEAD_LIMIT, MAX_HEADERS};
 
 /// Request that the server has received.
 #[derive(Debug, Clone)]
@@ -122,8 +122,12 @@
 
 const HEAD_TOO_LARGE: RequestError = RequestError::new(431, "head too large");
 
-/// Parses one request at the start of `buffer`. Returns `None` if more bytes are needed.
-pub fn parse_request(buffer: &[u8]) -> Result<Option<ParsedRequest>, RequestError> {
+/// Parses one request at the start of `buffer`. Returns `None` if more bytes are needed, and
+/// an error if the body has more than `max_body_bytes`.
+pub fn parse_request(
+    buffer: &[u8],
+    max_body_bytes: usize,
+) -> Result<Option<ParsedRequest>, RequestError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Request::new(&mut headers);
     let head_len = match head.parse(buffer) {
@@ -139,8 +143,8 @@
         return Err(HEAD_TOO_LARGE);
     }
     let framing = Framing::read(&head)?;
-    if framing.length > BODY_LIMIT {
-        return Err(RequestError::new(400, "body over 64 KiB"));
+    if framing.length > max_body_bytes {
+        return Err(RequestError::new(400, "body too long"));
     }
     let len = head_len + framing.length;
     if buffer.len() < len {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -33,6 +33,8 @@
     /// Maximum number of open connections. The server closes further connections
     /// immediately.
     pub max_connections: usize,
+    /// Maximum size of a request's body, in bytes. The server refuses longer requests.
+    pub max_body_bytes: usize,
     /// Time after which an idle connection without a new request is closed.
     pub idle_timeout: Duration,
     /// Time within which a request must arrive in full after its first byte, and within
@@ -149,7 +151,7 @@
 ) -> io::Result<ReceiveOutcome> {
     let mut started_at: Option<Instant> = (!buffer.is_empty()).then(Instant::now);
     loop {
-        match parse_request(buffer) {
+        match parse_request(buffer, limits.max_body_bytes) {
             Ok(Some(parsed)) => {
                 buffer.drain(..parsed.len);
                 if buffer.is_empty() {
--- a/tests/decisions/http.rs
+++ b/tests/decisions/http.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use shelfhoist::http::{
-    CallError, Client, ParsedRequest, Response, ServerLimits, parse_request, serve,
+    BODY_LIMIT, CallError, Client, ParsedRequest, Response, ServerLimits, parse_request, serve,
 };
 use shelfhoist::net::{Net, SimulatedNetwork};
 
@@ -31,7 +31,7 @@
         (&many_headers, 431),
     ];
     for (text, status) in refused {
-        match parse_request(text.as_bytes()) {
+        match parse_request(text.as_bytes(), BODY_LIMIT) {
             Err(error) => assert_eq!(error.status, *status, "{text:.60}"),
             other => panic!("{text:.60}: {other:?}"),
         }
@@ -39,11 +39,14 @@
     let text = "POST /a?b=c HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhiGET";
     for length in 0..text.len() - 3 {
         assert!(
-            matches!(parse_request(&text.as_bytes()[..length]), Ok(None)),
+            matches!(
+                parse_request(&text.as_bytes()[..length], BODY_LIMIT),
+                Ok(None)
+            ),
             "{length} bytes"
         );
     }
-    match parse_request(text.as_bytes()) {
+    match parse_request(text.as_bytes(), BODY_LIMIT) {
         Ok(Some(ParsedRequest {
             request,
             len,
@@ -80,6 +83,7 @@
         let network = |n| Net::Simulated(simulated_network.clone(), address(n));
         let limits = ServerLimits {
             max_connections: 8,
+            max_body_bytes: BODY_LIMIT,
             idle_timeout: Duration::from_secs(60),
             request_timeout: Duration::from_secs(5),
             is_preferred: |request| request.path == "/worker",
--- a/tests/launches.rs
+++ b/tests/launches.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use serde_json::json;
-use shelfhoist::http::{CallError, Client, Deadlines, Handler, Response, ServerLimits, serve};
+use shelfhoist::http::{
+    BODY_LIMIT, CallError, Client, Deadlines, Handler, Response, ServerLimits, serve,
+};
 use shelfhoist::net::{Net, SimulatedNetwork};
 use shelfhoist::settings::Settings;
 use shelfhoist::wire::{CommandAction, WorkerCommand};
@@ -135,6 +137,7 @@
         });
         let limits = ServerLimits {
             max_connections: 4,
+            max_body_bytes: BODY_LIMIT,
             idle_timeout: secs(60.0),
             request_timeout: secs(5.0),
             is_preferred: |_| true,
--- a/tests/rule_checker/derived_rules.rs
+++ b/tests/rule_checker/derived_rules.rs
@@ -3,8 +3,8 @@
 use serde_json::{Value, json};
 
 use crate::history::{
-    Cancel, Case, Elapse, FIRST, FIRST_TASK, Poll, SECOND, StartTask, Submit, WriteRecord,
-    after_unrelated_start, long_batch, short_batch,
+    Cancel, Case, Elapse, FIRST, FIRST_TASK, Poll, SECOND, StartTask, StartTasks, Submit,
+    WriteRecord, after_unrelated_start, long_batch, short_batch,
 };
 use crate::stand_ins::{Rule, job, with_dependencies};
 
@@ -75,9 +75,23 @@
             compliant: || vec![WriteRecord("sh/zone/b", zone_shard_of("host-000001"))],
             violation: || vec![WriteRecord("sh/zone/b", zone_shard_of("host-000000"))],
         },
+        Case {
+            name: "a heartbeat over 64 KiB",
+            rule: Rule::MessageSize,
+            setup: || vec![Submit(tiny_tasks(1400))],
+            compliant: || vec![StartTasks(0, 1000), Elapse(3.0)],
+            violation: || vec![StartTasks(0, 1400), Elapse(3.0)],
+        },
     ]
 }
 
+/// Returns an array of this many tasks, which take little of their machine.
+fn tiny_tasks(count: u32) -> Value {
+    let mut array = job(1, "batch", count, 60.0);
+    array["vcpus"] = json!(0.001);
+    array
+}
+
 /// Returns the stored record of a machine shard with one machine.
 fn machine_shard_of(machine: &str) -> Value {
     json!({"m": {machine: {"h": "n0", "i": 1, "k": 1, "s": [1, 1], "f": "a", "t": "big"}}})
--- a/tests/rule_checker/history.rs
+++ b/tests/rule_checker/history.rs
@@ -19,6 +19,9 @@
 /// ID of the first task of the first job.
 pub const FIRST_TASK: &str = "job-000001/0";
 
+/// Number of commands that a message contains at most.
+const COMMANDS_PER_MESSAGE: usize = 300;
+
 /// Number of machines. Those with even numbers are in zone a, the others in zone b.
 pub const MACHINE_COUNT: usize = 4;
 
@@ -35,6 +38,8 @@
     Cancel(&'static str, u16, &'static str),
     /// Sends a machine the controller's command to start a task.
     StartTask(usize, &'static str),
+    /// Sends a machine the controller's commands to start this number of tasks of the first job.
+    StartTasks(usize, usize),
     /// Sends a machine the controller's command to stop a task.
     StopTask(usize, &'static str),
     /// Makes the worker of a machine hang for this number of seconds.
@@ -51,8 +56,8 @@
 }
 
 pub use Step::{
-    Cancel, Elapse, HangMachine, LoseMachine, Poll, PollFor, StartTask, StopTask, Submit,
-    SubmitWithStatus, WriteRecord,
+    Cancel, Elapse, HangMachine, LoseMachine, Poll, PollFor, StartTask, StartTasks, StopTask,
+    Submit, SubmitWithStatus, WriteRecord,
 };
 
 /// A case of the rule checker: a history that continues once with a violation of a rule and
@@ -88,6 +93,12 @@
                 simulation.cancel(0, id).await;
             }
             StartTask(machine, task) => controller.send_command(machine, "launch", task).await,
+            StartTasks(machine, count) => {
+                let tasks: Vec<String> = (0..count).map(|n| format!("{FIRST}/{n}")).collect();
+                for message in tasks.chunks(COMMANDS_PER_MESSAGE) {
+                    controller.send_commands(machine, "launch", message).await;
+                }
+            }
             StopTask(machine, task) => controller.send_command(machine, "stop", task).await,
             HangMachine(machine, seconds) => {
                 let name = format!("host-{machine:06}");
--- a/tests/stand_ins/frames.rs
+++ b/tests/stand_ins/frames.rs
@@ -14,6 +14,9 @@
 
 use super::scenario::Simulation;
 
+/// Maximum size of a request's body, and of a line in a response to workers or users, in bytes.
+pub(super) const MAX_BODY_BYTES: usize = 64 * 1024;
+
 /// The state of a 64-bit FNV-1a hash over a sequence of fields.
 struct Fnv1a(u64);
 
@@ -106,6 +109,9 @@
 pub struct FrameRecorder {
     began: Cell<Option<Instant>>,
     frames: RefCell<Vec<Frame>>,
+    /// Descriptions of the messages that exceed a size limit of the protocol. They are recorded
+    /// at all times.
+    pub oversized: RefCell<Vec<String>>,
 }
 
 impl FrameRecorder {
@@ -132,6 +138,17 @@
         }
     }
 
+    /// Returns whether a message is within the size limit, and records it if it is not.
+    pub(super) fn check_size(&self, message: &str, body: &[u8]) -> bool {
+        let longest = body.split(|byte| *byte == b'\n').map(<[u8]>::len).max();
+        let bytes = longest.unwrap_or(0);
+        if bytes > MAX_BODY_BYTES {
+            let oversized = format!("{message}: {bytes} bytes");
+            self.oversized.borrow_mut().push(oversized);
+        }
+        bytes <= MAX_BODY_BYTES
+    }
+
     /// Records a response to `request` at the stand-in with address `stand_in`.
     fn record_response(&self, stand_in: SocketAddrV4, request: &str, response: &Response) {
         let Response {
@@ -157,9 +174,19 @@
         move |request| {
             let request_line = format!("{} {}?{}", request.method, request.path, request.query);
             frames.push(stand_in, &format!("request {request_line}"), &request.body);
+            if !frames.check_size(&format!("request {request_line}"), &request.body) {
+                return Box::pin(async { Response::error(400, "body too long") });
+            }
+            let is_worker = request.path == "/orders";
             let (frames, pending) = (frames.clone(), handler(request));
             Box::pin(async move {
                 let response = pending.await;
+                if is_worker {
+                    frames.check_size(
+                        &format!("status in the answer to {request_line}"),
+                        &response.body,
+                    );
+                }
                 frames.record_response(stand_in, &request_line, &response);
                 response
             })
@@ -210,6 +237,13 @@
             .push(self.stand_in, &format!("request {request_line}"), sent);
         let result = self.client.call(to, method, path, body, limit).await;
         match &result {
+            Ok(response)
+                if !self
+                    .frames
+                    .check_size(&format!("response to {request_line}"), &response.body) =>
+            {
+                return Err(CallError::TooLarge);
+            }
             Ok(response) => self
                 .frames
                 .record_response(self.stand_in, &request_line, response),
--- a/tests/stand_ins/rules.rs
+++ b/tests/stand_ins/rules.rs
@@ -42,11 +42,13 @@
     Orphaned,
     /// A machine was in two zone shards or in two machine shards of the stored records.
     Misplaced,
+    /// A message exceeded the size limit of the protocol.
+    MessageSize,
 }
 
 impl Rule {
     /// All rules that the checker checks.
-    pub const ALL: [Rule; 13] = [
+    pub const ALL: [Rule; 14] = [
         Rule::RanTwice,
         Rule::Quota,
         Rule::WrongPlace,
@@ -60,6 +62,7 @@
         Rule::TooEarly,
         Rule::Orphaned,
         Rule::Misplaced,
+        Rule::MessageSize,
     ];
 
     /// Returns the rule's name in reports: the name in the protocol if it has one.
@@ -78,6 +81,7 @@
             Rule::TooEarly => "too_early",
             Rule::Orphaned => "orphaned",
             Rule::Misplaced => "misplaced",
+            Rule::MessageSize => "message_size",
         }
     }
 }
@@ -209,6 +213,9 @@
         for place in self.state.misplaced_machines.borrow().iter() {
             all.push(format!("{}: {place}", Rule::Misplaced.name()));
         }
+        for message in self.frames.oversized.borrow().iter() {
+            all.push(format!("{}: {message}", Rule::MessageSize.name()));
+        }
         all
     }
 
--- a/tests/stand_ins/scenario.rs
+++ b/tests/stand_ins/scenario.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::cloud::CloudRateLimit;
-use super::frames::{FrameRecorder, RecordedClient};
+use super::frames::{FrameRecorder, MAX_BODY_BYTES, RecordedClient};
 use super::rules::{JobPolls, JobResponses};
 use super::state_service::{StateLimits, StateService};
 use super::worker::Worker;
@@ -246,6 +246,8 @@
 /// The HTTP server limits of the stand-ins.
 pub(super) const SERVER_LIMITS: ServerLimits = ServerLimits {
     max_connections: 1000,
+    // The recorder refuses and counts requests over the protocol's limit.
+    max_body_bytes: MAX_BODY_BYTES * 64,
     idle_timeout: Duration::from_secs(600),
     request_timeout: Duration::from_secs(60),
     is_preferred: |_| true,
--- a/tests/stand_ins/scripted.rs
+++ b/tests/stand_ins/scripted.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use shelfhoist::http::Response;
+use shelfhoist::http::{CallError, Response};
 
 use super::scenario::{Simulation, controller_addr};
 
@@ -66,10 +66,18 @@
 
     /// Sends one command to a worker and waits until the worker has executed it.
     pub async fn send_command(&self, machine: usize, action: &str, task: &str) {
+        self.send_commands(machine, action, &[task.to_string()])
+            .await;
+    }
+
+    /// Sends commands with the same action to a worker, in one message, and waits until the
+    /// worker has executed them.
+    pub async fn send_commands(&self, machine: usize, action: &str, tasks: &[String]) {
         let name = format!("host-{machine:06}");
         let worker = self.simulation.workers.borrow()[&name].0.clone();
+        let command = |task: &String| json!({"verb": action, "board": task, "try": 1});
         let orders = json!({"baton": FENCING_TOKEN, "shift": worker.epoch.get(),
-            "orders": [{"verb": action, "board": task, "try": 1}]});
+            "orders": tasks.iter().map(command).collect::<Vec<_>>()});
         let body = Some(orders.to_string().into_bytes());
         let call = self.simulation.client.call(
             worker.address,
@@ -78,7 +86,13 @@
             body,
             Duration::from_secs(5),
         );
-        let response = call.await.expect("a response of the worker");
-        assert_eq!(response.status, 200, "{action} {task} on {name}");
+        match call.await {
+            // The worker's status is too long for a message, which the rule checker reports.
+            Err(CallError::TooLarge) => {}
+            response => {
+                let response = response.expect("a response of the worker");
+                assert_eq!(response.status, 200, "{action} on {name}");
+            }
+        }
     }
 }
--- a/tests/stand_ins/worker.rs
+++ b/tests/stand_ins/worker.rs
@@ -33,7 +33,7 @@
     pub(super) zone: String,
     pub(super) address: SocketAddrV4,
     pub(super) fencing_token: Cell<u64>,
-    pub(super) epoch: Cell<u64>,
+    pub epoch: Cell<u64>,
     pub(super) sequence: Cell<u64>,
     /// Time at which the lease was last renewed.
     pub(super) lease_renewed_at: Cell<Instant>,
@@ -292,6 +292,18 @@
         serve(listener, SERVER_LIMITS, Rc::new(handler)).await;
     }
 
+    /// Makes a worker execute launches of these tasks, as if its owner had commanded them.
+    pub fn launch(&self, machine: &str, tasks: &[String]) {
+        let worker = self.workers.borrow()[machine].0.clone();
+        let commands = tasks.iter().map(|task| WorkerCommand {
+            action: CommandAction::Start,
+            task: task.clone(),
+            attempt: 1,
+            grace_s: None,
+        });
+        worker.execute(self, &commands.collect::<Vec<_>>());
+    }
+
     /// Sends a worker's heartbeats and executes the commands in the responses. After a failure
     /// or a redirect, the next heartbeat goes to another controller.
     pub(super) async fn send_heartbeats(self: Rc<Self>, worker: Rc<Worker>) {
@@ -311,6 +323,9 @@
             let epoch = worker.epoch.get();
             let sent = Instant::now();
             let body = serde_json::to_vec(&worker.report()).expect("report");
+            // A controller refuses a heartbeat over the limit.
+            self.frames
+                .check_size(&format!("heartbeat of {}", worker.name), &body);
             if self.shape.machines == 0 {
                 worker.sent_heartbeats.borrow_mut().push(body.clone());
             }
