A machine gets no more tasks than its worker can list in a heartbeat

An accepted array of 2,500 tiny tasks never got done, and the lease of a healthy machine ran out again and again, with another team's service on it.

Cause: a worker lists all tasks of its machine in each heartbeat, which may take 64 KiB, but nothing bounded the number of tasks: placement filled a machine by its resources alone. A longer heartbeat is answered with 400 by every controller, so the lease expires; the next epoch began with the same launches.

Mend, in what all planning shares: Capacity, which a plan's machines now have in place of resources, counts tasks beside resources, 504 a machine: entries of 128 bytes, the longest that the protocol allows, in 64 KiB. It is worked out from the bookings, so no stored form changes. Zones, gangs, candidates, reservations, preemption, demand, incoming capacity, prices, rentals, headroom and scale-in all compute with it; the compiler named each place. The owner launches no more than the worker can list beside what it lists already, ended tasks included until they are forgotten. Commands go out as many as fit a message: stops, forgets, launches; the rest follows after the next status. An answer renews a lease only if it carries all stops of cancelled tasks; where they are too many, direct calls send them. A machine that an older version overfilled sheds the surplus: what was never launched is released, then tasks of arrays are stopped, of the jobs with the most tasks there, and no more at once than the longer entries of ended tasks leave space for.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -109,7 +109,7 @@
 
 /// Handles `POST /agent/beat`, a worker's heartbeat.
 async fn heartbeat(controller: &Rc<Controller>, body: &[u8]) -> Response {
-    match serde_json::from_slice::<WorkerStatus>(body) {
+    match WorkerStatus::parse(body) {
         Ok(status) => controller.heartbeat(status).await,
         Err(_) => Response::error(400, "not a report"),
     }
--- a/src/api/validation.rs
+++ b/src/api/validation.rs
@@ -175,7 +175,7 @@
     let zones: BTreeSet<&str> = types
         .iter()
         .filter(|machine_type| {
-            spec.allows_type(&machine_type.name) && machine_type.resources().fits(&spec.need)
+            spec.allows_type(&machine_type.name) && machine_type.capacity().fits_task(&spec.need)
         })
         .flat_map(|machine_type| machine_type.zones.iter().map(String::as_str))
         .filter(|zone| spec.zone.as_ref().is_none_or(|only| only == zone))
--- a/src/cloud/consolidation.rs
+++ b/src/cloud/consolidation.rs
@@ -9,7 +9,7 @@
 use crate::state::budget::RequestClass;
 use crate::state::commit::precondition;
 use crate::state::keys::{job_key, zone_shard_key};
-use crate::state::records::{Machine, MachineLifecycle, Resources, TaskOutcome};
+use crate::state::records::{Capacity, Machine, MachineLifecycle, TaskOutcome};
 use crate::state::replica::Replica;
 use crate::wire::{Commit, JobKind};
 
@@ -128,7 +128,7 @@
         let services = self.services_on(id)?;
         let mut plan_without_machine = self.plan.clone();
         if let Some(slot) = plan_without_machine.slot_index_of(self.replica, id) {
-            plan_without_machine.plan_slots[slot].free = Resources::default();
+            plan_without_machine.plan_slots[slot].free = Capacity::default();
         }
         if free_accelerator_slots(self.replica, &plan_without_machine, None) < self.reserved_slots {
             return None;
--- a/src/cloud/headroom.rs
+++ b/src/cloud/headroom.rs
@@ -51,6 +51,6 @@
     plan.plan_slots
         .iter()
         .filter(|slot| allowed[slot.class as usize])
-        .map(|slot| slot.free.slots(&gpu_spec.need))
+        .map(|slot| slot.free.task_slots(&gpu_spec.need))
         .sum()
 }
--- a/src/cloud/incoming_capacity.rs
+++ b/src/cloud/incoming_capacity.rs
@@ -16,7 +16,7 @@
     spot: bool,
 ) {
     if let Some(class) = replica.find_class(&machine_type.name, zone, spot) {
-        plan.add_unassigned(class, machine_type.resources());
+        plan.add_unassigned(class, machine_type.capacity());
     }
 }
 
--- a/src/cloud/job_demand.rs
+++ b/src/cloud/job_demand.rs
@@ -4,7 +4,7 @@
 
 use super::offer_search::OfferConstraints;
 use crate::policy::{JobFacts, Policy};
-use crate::scheduler::AcceleratorProtection;
+use crate::scheduler::{AcceleratorProtection, Plan};
 use crate::state::records::{FAULTY_JOB_THRESHOLD, Job, JobSpec};
 use crate::state::replica::{MachineClass, Replica};
 use crate::wire::{JobKind, MachineType};
@@ -12,6 +12,9 @@
 /// The smallest shortfall, in slots, for which capacity is provisioned.
 const MIN_SHORTFALL: f64 = 0.5;
 
+/// The smallest rate of turnover by which a demand is divided.
+const MIN_TURNOVER_RATE: f64 = 0.01;
+
 /// A job for which capacity is planned.
 pub(super) struct JobDemand<'a> {
     pub(super) id: &'a str,
@@ -43,12 +46,12 @@
 
     /// Returns the number of slots to provision for the job's `unplaced` tasks, or `None` if
     /// no more are needed. For an array, CPUs that running array tasks will soon free count as
-    /// capacity. They are subtracted from `turnover_cpus`, so that no other job counts on them.
+    /// capacity. They are subtracted from `turnover`, so that no other job counts on them.
     pub(super) fn wanted_slots(
         &self,
         unplaced: usize,
         policy: &Policy,
-        turnover_cpus: &mut f64,
+        turnover: &mut ArrayTurnover,
     ) -> Option<usize> {
         let spec = self.spec;
         let mut wanted = unplaced as f64;
@@ -59,9 +62,8 @@
             let window_s = policy.rent_window_s(&self.facts);
             let cpus = spec.need.cpus.units().max(0.001);
             wanted = wanted * spec.estimate_s.max(1.0) / window_s;
-            let turnover = policy.rent_turnover(&self.facts);
-            let covered = wanted.min(*turnover_cpus * turnover / cpus);
-            *turnover_cpus -= covered * cpus / turnover.max(0.01);
+            let rate = policy.rent_turnover(&self.facts);
+            let covered = turnover.take(wanted, cpus, rate);
             wanted -= covered;
             // No machine is provisioned for so small a shortfall: its tasks run when other
             // tasks end. But if the job has no running tasks and does not count on the CPUs of
@@ -110,9 +112,9 @@
 /// stop a correct job permanently.
 pub(super) fn may_provision_despite_failures(replica: &Replica, job: &Job, spec: &JobSpec) -> bool {
     let can_hold = |class: &MachineClass| {
-        let capacity = replica.class_type(class).map(MachineType::resources);
+        let capacity = replica.class_type(class).map(MachineType::capacity);
         spec.allows(&class.kind, &class.zone, class.spot)
-            && capacity.is_some_and(|capacity| capacity.fits(&spec.need))
+            && capacity.is_some_and(|capacity| capacity.fits_task(&spec.need))
     };
     let max_errors = FAULTY_JOB_THRESHOLD as u32 * 2;
     let mut plan_slots = replica.plan_slots();
@@ -121,16 +123,50 @@
         && !plan_slots.any(|slot| can_hold(&replica.classes[slot.class as usize]))
 }
 
-/// Returns the number of CPUs that are booked by tasks of arrays.
-pub(super) fn running_array_cpus(replica: &Replica) -> f64 {
-    let mut cpus = 0.0;
-    for (_, id) in &replica.open_jobs {
-        if let Some(job) = replica.jobs.get(id).map(|entry| &entry.value)
-            && let Some(spec) = &job.spec
-            && spec.kind == JobKind::Array
-        {
-            cpus += spec.need.cpus.units() * job.booked_count() as f64;
+/// Capacity that running array tasks will soon free and that no planned job counts on yet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct ArrayTurnover {
+    /// Number of CPUs that the tasks use.
+    cpus: f64,
+    /// Number of tasks that the machines can run in place of the ending ones, whatever
+    /// resources these free.
+    tasks: f64,
+}
+
+impl ArrayTurnover {
+    /// Returns the turnover of the array tasks that are booked on the machines of the plan.
+    pub(super) fn of(replica: &Replica, plan: &Plan) -> Self {
+        let slots = plan.plan_slots.iter();
+        let free_tasks: i64 = slots.map(|slot| slot.free.tasks.max(0)).sum();
+        let mut turnover = ArrayTurnover {
+            cpus: 0.0,
+            tasks: free_tasks as f64,
+        };
+        turnover.add_running_arrays(replica);
+        turnover
+    }
+
+    /// Subtracts what at most `wanted` tasks of `cpus` CPUs each can count on, and returns the
+    /// number of these tasks. `rate` is the part of the running tasks that end in time, and may
+    /// exceed 1.
+    fn take(&mut self, wanted: f64, cpus: f64, rate: f64) -> f64 {
+        let covered = wanted.min(self.cpus * rate / cpus).min(self.tasks * rate);
+        let ended = covered / rate.max(MIN_TURNOVER_RATE);
+        self.cpus -= ended * cpus;
+        self.tasks -= ended;
+        covered
+    }
+
+    fn add_running_arrays(&mut self, replica: &Replica) {
+        for (_, id) in &replica.open_jobs {
+            if let Some(job) = replica.jobs.get(id).map(|entry| &entry.value)
+                && let Some(spec) = &job.spec
+                && spec.kind == JobKind::Array
+            {
+                let booked = job.booked_count() as f64;
+                self.cpus += spec.need.cpus.units() * booked;
+                self.tasks += booked;
+            }
         }
     }
-    cpus
 }
--- a/src/cloud/offer_search.rs
+++ b/src/cloud/offer_search.rs
@@ -53,7 +53,7 @@
         let max_slot_price = cheapest_slot_price(self.replica, spec) * constraints.max_price_ratio;
         let mut best: Option<ChosenOffer> = None;
         for machine_type in &self.replica.types.value.types {
-            let slots = machine_type.resources().slots(&spec.need);
+            let slots = machine_type.capacity().task_slots(&spec.need);
             if slots == 0 || !spec.allows_type(&machine_type.name) {
                 continue;
             }
--- a/src/cloud/pricing.rs
+++ b/src/cloud/pricing.rs
@@ -10,7 +10,7 @@
 pub(super) fn cheapest_slot_price(replica: &Replica, spec: &JobSpec) -> f64 {
     let mut cheapest = f64::INFINITY;
     for machine_type in &replica.types.value.types {
-        let slots = machine_type.resources().slots(&spec.need);
+        let slots = machine_type.capacity().task_slots(&spec.need);
         if slots > 0 && spec.allows_type(&machine_type.name) {
             cheapest = cheapest.min(machine_price(machine_type, spec.spot) / slots as f64);
         }
--- a/src/cloud/scale_out_planner.rs
+++ b/src/cloud/scale_out_planner.rs
@@ -8,8 +8,7 @@
 use super::headroom::{free_accelerator_slots, wanted_headroom_slots};
 use super::incoming_capacity::{add_incoming_capacity, add_machine};
 use super::job_demand::{
-    DependentJob, JobDemand, jobs_about_to_start, may_provision_despite_failures,
-    running_array_cpus,
+    ArrayTurnover, DependentJob, JobDemand, jobs_about_to_start, may_provision_despite_failures,
 };
 use super::offer_search::{ChosenOffer, OfferConstraints, OfferSearch};
 use super::planned_provisioning::{MAX_MACHINES_PER_REQUEST, PlannedProvisioning};
@@ -17,7 +16,7 @@
 use crate::scheduler::{
     self, AcceleratorProtection, FirstSeenTimes, PlacementHints, Plan, WaitReason,
 };
-use crate::state::records::{JobSpec, ProvisioningRequest};
+use crate::state::records::{Capacity, JobSpec, ProvisioningRequest};
 use crate::state::replica::Replica;
 use crate::wire::JobKind;
 
@@ -70,9 +69,7 @@
     /// The free capacity, the incoming capacity, and the capacity of the machines
     /// planned so far.
     plan: Plan,
-    /// CPUs of running array tasks that will soon become free and that no planned
-    /// job counts on yet.
-    turnover_cpus: f64,
+    turnover: ArrayTurnover,
     /// The provisioning requests planned so far.
     planned_requests: PlannedProvisioning,
 }
@@ -101,8 +98,8 @@
             first_seen,
             hints: PlacementHints::new(replica, ""),
             now,
+            turnover: ArrayTurnover::of(replica, &plan),
             plan,
-            turnover_cpus: running_array_cpus(replica),
             planned_requests: PlannedProvisioning::default(),
         }
     }
@@ -118,7 +115,7 @@
             };
             let Some(spec) = &job.spec else { continue };
             for run in &job.runs {
-                let released = spec.need.times(run.tasks.len());
+                let released = Capacity::of_tasks(&spec.need, run.tasks.len());
                 self.plan
                     .release(self.replica, &run.machine, &spec.team, released);
             }
@@ -215,8 +212,7 @@
     /// Plans one more machine for the job's `unplaced` tasks.
     fn provision_for(&mut self, demand: &mut JobDemand, unplaced: usize) -> DemandProgress {
         let policy = &self.controller.settings.policy;
-        let Some(wanted_slots) = demand.wanted_slots(unplaced, policy, &mut self.turnover_cpus)
-        else {
+        let Some(wanted_slots) = demand.wanted_slots(unplaced, policy, &mut self.turnover) else {
             return DemandProgress::Finished;
         };
         let constraints = demand.offer_constraints();
@@ -226,7 +222,7 @@
         demand.last_zone = Some(chosen.offer.zone.clone());
         // If this machine has all slots that an array wants, no second one is planned: the
         // array's remaining tasks run one after another on it.
-        let slots = chosen.machine_type.resources().slots(&demand.spec.need);
+        let slots = chosen.machine_type.capacity().task_slots(&demand.spec.need);
         let is_enough = demand.spec.kind == JobKind::Array && slots >= wanted_slots;
         self.provision(chosen);
         match is_enough {
--- a/src/cloud/summary.rs
+++ b/src/cloud/summary.rs
@@ -82,7 +82,7 @@
         let name = format!("{}{spot}{inactive}", machine.kind);
         let summary = types.entry(name).or_default();
         summary.machines += 1;
-        summary.booked_cpus += replica.booked_on(id).cpus.units();
+        summary.booked_cpus += replica.booked_on(id).resources.cpus.units();
         summary.cpus += replica
             .machine_type(&machine.kind)
             .map_or(0.0, |machine_type| machine_type.cpus);
--- a/src/cloud/unneeded_machines.rs
+++ b/src/cloud/unneeded_machines.rs
@@ -169,7 +169,7 @@
         if !gpu_spec.allows(&machine.kind, &machine.zone, machine.spot) {
             return false;
         }
-        let slots = machine_type.resources().slots(&gpu_spec.need);
+        let slots = machine_type.capacity().task_slots(&gpu_spec.need);
         if slots > 0 && self.free_slots < self.headroom_slots + slots {
             return true;
         }
@@ -192,7 +192,7 @@
         let spec = job.spec.as_ref().filter(|_| job.is_open());
         !replica.has_dependents(id)
             && spec.is_some_and(|spec| {
-                let slots = machine_type.resources().slots(&spec.need).max(1) as f64;
+                let slots = machine_type.capacity().task_slots(&spec.need).max(1) as f64;
                 let max_price = cheapest_slot_price(replica, spec) * MAX_OPPORTUNISTIC_PRICE_RATIO;
                 scheduler::is_opportunistic(spec, settings)
                     && machine_price(machine_type, spot) / slots > max_price
--- a/src/scheduler/assignment.rs
+++ b/src/scheduler/assignment.rs
@@ -6,6 +6,7 @@
 
 use super::candidates::{MachineCandidates, Score};
 use super::plan::Plan;
+use crate::state::records::Capacity;
 use crate::state::replica::PlanSlot;
 use crate::wire::JobKind;
 
@@ -92,14 +93,15 @@
     fn assign_to_machine(&mut self, zone: usize, candidate: Candidate) {
         let spec = self.machines.spec;
         let is_service = spec.kind == JobKind::Service;
+        let task = Capacity::of_task(&spec.need);
         let mut slot = self.plan.plan_slots[candidate.slot_index];
         for _ in 0..candidate.assigned {
-            slot.free -= spec.need;
+            slot.free -= task;
         }
         loop {
             self.assignment.score.add(&candidate.score);
             self.assignment.slot_indices.push(candidate.slot_index);
-            slot.free -= spec.need;
+            slot.free -= task;
             self.zones.count_assigned(zone);
             let has_capacity = self.assignment.slot_indices.len() < self.limit
                 && self.zones.caps[zone] > 0
--- a/src/scheduler/candidates.rs
+++ b/src/scheduler/candidates.rs
@@ -2,7 +2,7 @@
 
 use super::hints::{AcceleratorProtection, PlacementHints};
 use super::plan::UNASSIGNED;
-use crate::state::records::{Amount, JobSpec};
+use crate::state::records::{Amount, Capacity, JobSpec};
 use crate::state::replica::{MachineClass, PlanSlot, Replica};
 use crate::wire::JobKind;
 use crate::workers;
@@ -131,7 +131,7 @@
     /// Returns whether a task of the job can be placed on the machine.
     pub(super) fn accepts_task(&self, slot: &PlanSlot) -> bool {
         let class = self.class(slot);
-        if !class.allowed || !slot.free.fits(&self.spec.need) {
+        if !class.allowed || !slot.free.fits_task(&self.spec.need) {
             return false;
         }
         if self.excluded.contains(&slot.machine) {
@@ -154,7 +154,7 @@
             // work needs, and they only use a machine on which accelerators are in use, so
             // that they do not keep a machine provisioned whose accelerators are idle.
             (JobKind::Array, _) => {
-                slot.free.gpus < class.gpus && self.accelerator_slots_lost(slot) == 0
+                slot.free.resources.gpus < class.gpus && self.accelerator_slots_lost(slot) == 0
             }
             // Gangs and services run for long, so strict protection keeps them on other
             // machines.
@@ -175,8 +175,9 @@
         }
         match &self.hints.replica.latest_gpu_spec {
             Some(gpu_spec) => {
-                let after = slot.free - self.spec.need;
-                slot.free.slots(&gpu_spec.need) as i64 - after.slots(&gpu_spec.need) as i64
+                let after = slot.free - Capacity::of_task(&self.spec.need);
+                slot.free.task_slots(&gpu_spec.need) as i64
+                    - after.task_slots(&gpu_spec.need) as i64
             }
             None => 1,
         }
@@ -193,7 +194,9 @@
         let spec = self.spec;
         let needs_gpus = spec.need.gpus.0 > 0;
         let gpu_task_slots = match &replica.latest_gpu_spec {
-            Some(gpu_spec) if class.gpus.0 > 0 && !needs_gpus => slot.free.slots(&gpu_spec.need),
+            Some(gpu_spec) if class.gpus.0 > 0 && !needs_gpus => {
+                slot.free.task_slots(&gpu_spec.need)
+            }
             _ => 0,
         };
         let no_image = i64::from(!replica.has_image(slot.machine, self.image));
@@ -221,7 +224,7 @@
             // Work that needs accelerators prefers machines with fewer of them; other work
             // prefers machines with more.
             if needs_gpus { 1 } else { -1 } * class.gpus.0,
-            slot.free.cpus.0,
+            slot.free.resources.cpus.0,
         ])
     }
 }
--- a/src/scheduler/capacity_reservation.rs
+++ b/src/scheduler/capacity_reservation.rs
@@ -4,11 +4,11 @@
 use super::candidates::MachineCandidates;
 use super::hints::{AcceleratorProtection, PlacementHints};
 use super::plan::Plan;
-use crate::state::records::JobSpec;
+use crate::state::records::{Capacity, JobSpec};
 use crate::state::replica::PlanSlot;
 
-/// Reserves resources for a waiting gang in the zone that has capacity for the most of its
-/// tasks, so that jobs behind the gang in the queue do not use these resources. Machines
+/// Reserves free capacity for a waiting gang in the zone that has capacity for the most of
+/// its tasks, so that jobs behind the gang in the queue do not use it. Machines
 /// without capacity for any of the gang's tasks are not reserved: a reservation would not
 /// free them any sooner.
 pub fn reserve_capacity(spec: &JobSpec, plan: &mut Plan, hints: &PlacementHints) {
@@ -23,9 +23,9 @@
         while unreserved_tasks > 0
             && class.allowed
             && class.zone == best
-            && slot.free.fits(&spec.need)
+            && slot.free.fits_task(&spec.need)
         {
-            slot.free -= spec.need;
+            slot.free -= Capacity::of_task(&spec.need);
             unreserved_tasks -= 1;
         }
     }
@@ -41,7 +41,7 @@
     let mut slots = vec![0; zones];
     let allowed = |slot: &&PlanSlot| candidates.class(slot).allowed;
     for slot in plan.plan_slots.iter().filter(allowed) {
-        slots[candidates.class(slot).zone] += slot.free.slots(&candidates.spec.need);
+        slots[candidates.class(slot).zone] += slot.free.task_slots(&candidates.spec.need);
     }
     let best = (0..zones).max_by_key(|zone| slots[*zone]);
     best.filter(|zone| slots[*zone] > 0)
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -1,24 +1,24 @@
-//! Plan of free resources: the copy of the replica's free resources in which a placement
-//! round reserves placements and releases freed resources.
+//! Plan of free capacity: the copy of the replica's free capacity in which a placement round
+//! reserves placements and releases what has become free.
 
 use std::rc::Rc;
 
 use foldhash::HashMap;
 
 use crate::settings::TeamQuota;
-use crate::state::records::{Amount, Resources};
+use crate::state::records::{Amount, Capacity, Resources};
 use crate::state::replica::{PlanSlot, Replica};
 
 /// Machine and zone shard number of a machine that is not provisioned yet, and index of a
 /// machine that is not in the plan.
 pub(super) const UNASSIGNED: u32 = u32::MAX;
 
-/// Free resources that a round plans with: those that the bookings in the replica leave,
-/// less those that the round has already reserved. Plans are cloned often, so the plan
+/// Free capacity that a round plans with: what the bookings in the replica leave, less what
+/// the round has already reserved. Plans are cloned often, so the plan
 /// slots contain numbers instead of names.
 #[derive(Debug, Clone, Default)]
 pub struct Plan {
-    /// Machines that accept tasks, with their free resources.
+    /// Machines that accept tasks, with their free capacity.
     pub plan_slots: Vec<PlanSlot>,
     /// Index of each machine in `plan_slots`, by machine number; `UNASSIGNED` if the
     /// machine accepts no tasks.
@@ -33,7 +33,7 @@
         let mut plan = Plan {
             plan_slots: replica
                 .plan_slots()
-                .map(|slot| replica.with_free_resources(slot))
+                .map(|slot| replica.with_free_capacity(slot))
                 .collect(),
             slot_index_by_machine: vec![UNASSIGNED; replica.machine_names.len()],
             team_usage: replica.teams_used().clone(),
@@ -58,7 +58,7 @@
     }
 
     /// Adds a machine of this class that is not provisioned yet.
-    pub fn add_unassigned(&mut self, class: u32, free: Resources) {
+    pub fn add_unassigned(&mut self, class: u32, free: Capacity) {
         self.plan_slots.push(PlanSlot {
             machine: UNASSIGNED,
             shard: UNASSIGNED,
@@ -67,9 +67,9 @@
         });
     }
 
-    /// Reserves one task's resources for this placement.
+    /// Reserves one task's capacity for this placement.
     pub fn reserve(&mut self, placement: &TaskPlacement, team: &str, need: Resources) {
-        self.plan_slots[placement.slot_index].free -= need;
+        self.plan_slots[placement.slot_index].free -= Capacity::of_task(&need);
         match self.team_usage.get_mut(team) {
             Some(used) => *used += need,
             None => {
@@ -78,21 +78,21 @@
         }
     }
 
-    /// Releases resources that a team's tasks have used on a machine, or will soon stop
-    /// using: adds them to the machine's free resources and subtracts them from the team's
+    /// Releases capacity that a team's tasks have used on a machine, or will soon stop using:
+    /// adds it to the machine's free capacity and subtracts its resources from the team's
     /// usage. If the machine is not in the plan, only the team's usage changes.
-    pub fn release(&mut self, replica: &Replica, machine: &str, team: &str, freed: Resources) {
+    pub fn release(&mut self, replica: &Replica, machine: &str, team: &str, freed: Capacity) {
         match self.slot_index_of(replica, machine) {
             Some(slot_index) => self.release_at(slot_index, team, freed),
-            None => self.release_team_usage(team, freed),
+            None => self.release_team_usage(team, freed.resources),
         }
     }
 
-    /// Releases resources like [`Self::release`], on the machine with this index in
+    /// Releases capacity like [`Self::release`], on the machine with this index in
     /// `plan_slots`.
-    pub fn release_at(&mut self, slot_index: usize, team: &str, freed: Resources) {
+    pub fn release_at(&mut self, slot_index: usize, team: &str, freed: Capacity) {
         self.plan_slots[slot_index].free += freed;
-        self.release_team_usage(team, freed);
+        self.release_team_usage(team, freed.resources);
     }
 
     fn release_team_usage(&mut self, team: &str, freed: Resources) {
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -18,7 +18,7 @@
 use super::transaction::Transaction;
 use super::waiting_job::WaitingJob;
 use crate::controller::Controller;
-use crate::state::records::Job;
+use crate::state::records::{Capacity, Job};
 use crate::state::replica::Replica;
 
 /// State of a round that its preemption step reads and changes.
@@ -194,8 +194,8 @@
         let transaction = &mut self.context.transaction;
         transaction.edit_job_record(&candidate.job, |job| {
             if let Some(spec) = &job.spec {
-                let resources = spec.need.times(candidate.tasks);
-                expected_plan.release(replica, &candidate.machine, &spec.team, resources);
+                let freed = Capacity::of_tasks(&spec.need, candidate.tasks);
+                expected_plan.release(replica, &candidate.machine, &spec.team, freed);
             }
             let fits = |job: &Job| replica.fits_job(job, value_limit_bytes);
             job.stop_tasks(&candidate.machine, candidate.tasks, fits);
--- a/src/scheduler/preemption_search.rs
+++ b/src/scheduler/preemption_search.rs
@@ -8,6 +8,7 @@
 use super::plan::{Plan, TaskPlacement};
 use super::preemption_candidates::{PreemptibleRun, Preemptor, RunningWorkload};
 use super::waiting_job::WaitingJob;
+use crate::state::records::Capacity;
 
 /// Maximum number of times that one search checks whether the job fits. Each check is a
 /// placement search.
@@ -153,8 +154,8 @@
     fn preempt_tasks(&mut self, run: &PreemptibleRun, tasks: usize) {
         let spec = run.spec;
         let machine = &run.run.machine;
-        self.plan
-            .release_at(run.slot_index, &spec.team, spec.need.times(tasks));
+        let freed = Capacity::of_tasks(&spec.need, tasks);
+        self.plan.release_at(run.slot_index, &spec.team, freed);
         match self.preempted.last_mut() {
             Some(last) if last.job == *run.job && last.machine == *machine => {
                 last.tasks += tasks;
@@ -171,7 +172,7 @@
     fn check_fit(&mut self, slot_index: usize) -> SimulationStep {
         let need = &self.preemptor.waiting.spec.need;
         // The preemption can only help if this machine now has capacity for a task.
-        if !self.plan.plan_slots[slot_index].free.fits(need) {
+        if !self.plan.plan_slots[slot_index].free.fits_task(need) {
             return SimulationStep::Continue;
         }
         self.fit_checks += 1;
--- a/src/scheduler/round.rs
+++ b/src/scheduler/round.rs
@@ -22,7 +22,7 @@
 use super::transaction::Transaction;
 use crate::accounting::BookingAccounts;
 use crate::controller::Controller;
-use crate::state::records::{JobSpec, Resources};
+use crate::state::records::{Capacity, JobSpec};
 use crate::state::replica::Replica;
 use crate::wire::{Precondition, Write};
 use crate::workers::AttemptKey;
@@ -103,7 +103,7 @@
             continue;
         }
         if let Some(slot_index) = plan.slot_index_of(replica, machine) {
-            plan.plan_slots[slot_index].free = Resources::default();
+            plan.plan_slots[slot_index].free = Capacity::default();
         }
     }
     plan
--- a/src/scheduler/round_search.rs
+++ b/src/scheduler/round_search.rs
@@ -16,7 +16,7 @@
 use super::wait_states::WaitReason;
 use super::waiting_job::WaitingJob;
 use crate::settings::Settings;
-use crate::state::records::{Job, JobSpec};
+use crate::state::records::{Capacity, Job, JobSpec};
 use crate::state::replica::Replica;
 use crate::wire::JobKind;
 
@@ -226,8 +226,8 @@
         };
         let Some(spec) = &job.spec else { continue };
         for run in job.runs.iter().filter(|run| run.stop) {
-            let resources = spec.need.times(run.tasks.len());
-            expected_plan.release(replica, &run.machine, &spec.team, resources);
+            let freed = Capacity::of_tasks(&spec.need, run.tasks.len());
+            expected_plan.release(replica, &run.machine, &spec.team, freed);
         }
     }
     expected_plan
--- a/src/scheduler/terminations.rs
+++ b/src/scheduler/terminations.rs
@@ -4,6 +4,7 @@
 use super::round_state::RoundState;
 use super::transaction::{ReleaseOutcome, Transaction};
 use crate::controller::Controller;
+use crate::state::records::Capacity;
 use crate::state::replica::Replica;
 use crate::wire::JobKind;
 use crate::workers::{AttemptKey, TerminationEvidence};
@@ -102,8 +103,9 @@
     fn release_in_plan(&mut self, key: &AttemptKey) {
         let job = self.replica.jobs.get(&key.job);
         if let Some(spec) = job.and_then(|e| e.value.spec.as_ref()) {
+            let freed = Capacity::of_task(&spec.need);
             self.plan
-                .release(self.replica, &key.machine, &spec.team, spec.need);
+                .release(self.replica, &key.machine, &spec.team, freed);
         }
     }
 }
--- a/src/scheduler/transaction.rs
+++ b/src/scheduler/transaction.rs
@@ -136,7 +136,8 @@
                     .machine_type(&slot.kind)
                     .map_or(Resources::default(), MachineType::resources);
                 let released = released.get(machine).copied().unwrap_or_default();
-                slot.free = capacity - replica.booked_on(machine) - slot.unbooked + released;
+                slot.free =
+                    capacity - replica.booked_on(machine).resources - slot.unbooked + released;
             }
             shard
         })
--- a/src/state/record_trim.rs
+++ b/src/state/record_trim.rs
@@ -90,7 +90,7 @@
     let usable = |machine_type: &&MachineType| {
         let mut zones = machine_type.zones.iter();
         spec.allows_type(&machine_type.name)
-            && machine_type.resources().fits(&spec.need)
+            && machine_type.capacity().fits_task(&spec.need)
             && zones.any(|zone| spec.zone.as_ref().is_none_or(|only| only == zone))
     };
     let offered = context.machine_types.iter().filter(usable);
--- a/src/state/records/mod.rs
+++ b/src/state/records/mod.rs
@@ -5,6 +5,7 @@
 //! each. The module contains only plain data and pure functions.
 
 mod accepted_batch;
+mod capacity;
 mod controller;
 mod job;
 mod machine;
@@ -13,6 +14,7 @@
 mod team;
 
 pub use accepted_batch::AcceptedBatch;
+pub use capacity::Capacity;
 pub use controller::{
     ControllerRecord, FORMATS, FORMATS_COMPACT, FORMATS_GROUPED_SHARDS, FORMATS_SHARES, Formats,
 };
--- a/src/state/replica/jobs.rs
+++ b/src/state/replica/jobs.rs
@@ -6,7 +6,7 @@
 use foldhash::HashMap;
 
 use super::{Replica, Versioned};
-use crate::state::records::{Job, NumberSet, Run};
+use crate::state::records::{Capacity, Job, NumberSet, Run};
 
 /// Maximum number of images that the replica remembers per machine.
 const MAX_IMAGES_PER_MACHINE: usize = 16;
@@ -153,15 +153,19 @@
         let Some(spec) = &job.spec else { return };
         let mut tasks = 0;
         for run in &job.runs {
-            let run_tasks = change.sign() * run.tasks.len() as i64;
-            tasks += run_tasks;
+            tasks += run.tasks.len();
+            let taken = Capacity::of_tasks(&spec.need, run.tasks.len());
             let machine = self.machine_names.number(&run.machine);
-            *self.booked.entry(machine).or_default() += spec.need.scaled(run_tasks);
+            let booked = self.booked.entry(machine).or_default();
+            match change {
+                BookingChange::Add => *booked += taken,
+                BookingChange::Remove => *booked -= taken,
+            }
         }
         if tasks == 0 {
             return;
         }
-        let resources = spec.need.scaled(tasks);
+        let resources = spec.need.scaled(change.sign() * tasks as i64);
         *self.team_booked.entry(spec.team.clone()).or_default() += resources;
         let by_share = self.share_booked.entry(spec.team.clone()).or_default();
         by_share.add(job.share.as_ref(), resources);
--- a/src/state/replica/mod.rs
+++ b/src/state/replica/mod.rs
@@ -42,7 +42,7 @@
 use crate::dependencies::DependencyGraph;
 use crate::state::names::NameTable;
 use crate::state::records::{
-    AcceptedBatch, ControllerRecord, Formats, Job, JobSpec, Machine, MachineShard,
+    AcceptedBatch, Capacity, ControllerRecord, Formats, Job, JobSpec, Machine, MachineShard,
     MachineTypesRecord, ProvisioningRequest, Resources, TeamUsage, ZoneShard,
 };
 
@@ -110,8 +110,8 @@
     pub open_jobs: BTreeSet<(u64, String)>,
     /// Ids of the jobs that have bookings on a machine, by machine.
     pub bookings: HashMap<String, BTreeSet<String>>,
-    /// Resources that bookings take on each machine, by machine number.
-    booked: HashMap<u32, Resources>,
+    /// Capacity that bookings take on each machine, by machine number.
+    booked: HashMap<u32, Capacity>,
     /// Resources that bookings take in total, by team.
     team_booked: HashMap<String, Resources>,
     /// Cached sums of the resources of machines; `None` after a change of the machines.
--- a/src/state/replica/plan_slots.rs
+++ b/src/state/replica/plan_slots.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use super::Replica;
-use crate::state::records::{MachineSlot, Resources};
+use crate::state::records::{Capacity, MachineSlot};
 use crate::wire::MachineType;
 
 /// Class of machines with the same type, zone and spot flag. A job is allowed on all
@@ -52,10 +52,11 @@
     pub shard: u32,
     /// Number of the machine's class in `Replica::classes`.
     pub class: u32,
-    /// Free resources, if the entry is part of a plan. In the index of the replica, the field
-    /// contains the resources that tasks without a booking take;
-    /// `Replica::with_free_resources` turns an entry of the index into one for a plan.
-    pub free: Resources,
+    /// Free capacity, if the entry is part of a plan. In the index of the replica, the field
+    /// contains the capacity that tasks without a booking take, of which only the resources
+    /// are known; `Replica::with_free_capacity` turns an entry of the index into one for a
+    /// plan.
+    pub free: Capacity,
 }
 
 impl Replica {
@@ -79,9 +80,9 @@
     /// bookings in this replica. A controller that books more on the machine also writes the
     /// machine's zone shard. If a commit succeeds with the zone shard's version as a
     /// precondition, the machine therefore has at least this free capacity.
-    pub fn with_free_resources(&self, slot: &PlanSlot) -> PlanSlot {
+    pub fn with_free_capacity(&self, slot: &PlanSlot) -> PlanSlot {
         let machine_type = self.class_type(&self.classes[slot.class as usize]);
-        let capacity = machine_type.map_or(Resources::default(), MachineType::resources);
+        let capacity = machine_type.map_or(Capacity::default(), MachineType::capacity);
         let booked = self.booked.get(&slot.machine).copied().unwrap_or_default();
         PlanSlot {
             free: capacity - booked - slot.free,
@@ -128,7 +129,10 @@
                 machine: self.machine_names.number(&machine),
                 shard,
                 class: self.class_number(&slot.kind, &zone, slot.spot),
-                free: slot.unbooked,
+                free: Capacity {
+                    resources: slot.unbooked,
+                    tasks: 0,
+                },
             })
             .collect();
         for slot in &plan_slots {
--- a/src/state/replica/queries.rs
+++ b/src/state/replica/queries.rs
@@ -4,7 +4,7 @@
 
 use super::{Replica, Versioned};
 use crate::state::keys::{machine_shard_key, team_key, zone_shard_key};
-use crate::state::records::{Job, Resources};
+use crate::state::records::{Capacity, Job, Resources};
 use crate::wire::MachineType;
 
 impl Replica {
@@ -41,8 +41,8 @@
             .map(|(id, entry)| (id.as_str(), entry))
     }
 
-    /// Returns the resources that the bookings on a machine take.
-    pub fn booked_on(&self, machine: &str) -> Resources {
+    /// Returns the capacity that the bookings on a machine take.
+    pub fn booked_on(&self, machine: &str) -> Capacity {
         let number = self.machine_names.find(machine);
         let booked = number.and_then(|number| self.booked.get(&number));
         booked.copied().unwrap_or_default()
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -11,11 +11,13 @@
 //! - [`state_service`]: records, transactions, watches and state leases.
 
 pub mod cloud;
+mod message_size;
 pub mod state_service;
 pub mod users;
 pub mod workers;
 
 pub use cloud::*;
+pub use message_size::{MAX_TASKS_PER_MESSAGE, MESSAGE_HEAD_BYTES, TASK_ENTRY_BYTES};
 pub use state_service::*;
 pub use users::*;
 pub use workers::*;
--- a/src/wire/workers.rs
+++ b/src/wire/workers.rs
@@ -3,6 +3,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::message_size::{MAX_TASKS_PER_MESSAGE, STOPPED_ENTRY_GROWTH_BYTES};
+use crate::http::BODY_LIMIT;
+
 /// Stage of a task, as its worker reports it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskStage {
@@ -115,6 +118,34 @@
     /// removes it. Called `boards` in PROTOCOL.
     #[serde(rename = "boards", default)]
     pub tasks: Vec<TaskStatus>,
+    /// Size of the message in which the status arrived, in bytes.
+    #[serde(skip)]
+    pub message_bytes: usize,
+}
+
+impl WorkerStatus {
+    /// Parses the body of a heartbeat, or of the answer to a direct call. Fails if the body is
+    /// not the JSON text of a status.
+    pub fn parse(body: &[u8]) -> Result<Self, serde_json::Error> {
+        let status: WorkerStatus = serde_json::from_slice(body)?;
+        Ok(WorkerStatus {
+            message_bytes: body.len(),
+            ..status
+        })
+    }
+
+    /// Returns the number of tasks that may be told to stop at once. An ended task has a longer
+    /// entry in the next status, which must not exceed the size that PROTOCOL allows.
+    pub fn max_stops(&self) -> usize {
+        if self.tasks.len() <= MAX_TASKS_PER_MESSAGE {
+            return MAX_TASKS_PER_MESSAGE;
+        }
+        let free_bytes = BODY_LIMIT.saturating_sub(self.message_bytes);
+        let max_stops = free_bytes / STOPPED_ENTRY_GROWTH_BYTES;
+        // Without any ended task to forget, the list becomes shorter only by a stop.
+        let has_ended = self.tasks.iter().any(|t| t.stage == TaskStage::Ended);
+        max_stops.clamp(usize::from(!has_ended), MAX_TASKS_PER_MESSAGE)
+    }
 }
 
 /// Action that a command makes a worker apply to a task.
--- a/src/workers/capacity_plan.rs
+++ b/src/workers/capacity_plan.rs
@@ -140,7 +140,7 @@
         DesiredSlot::Present(MachineSlot {
             kind: machine.kind.clone(),
             spot: machine.spot,
-            free: machine_type.resources() - self.replica.booked_on(id) - unbooked,
+            free: machine_type.resources() - self.replica.booked_on(id).resources - unbooked,
             unbooked,
         })
     }
--- a/src/workers/command_call.rs
+++ b/src/workers/command_call.rs
@@ -120,7 +120,7 @@
     now: Instant,
 ) -> Ownership {
     let machine = call.machine.as_str();
-    let status = match answer.parse::<WorkerStatus>() {
+    let status = match WorkerStatus::parse(&answer.body) {
         Ok(status) => status,
         Err(error) => {
             tracing::debug!(machine, %error, "worker status invalid");
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -115,6 +115,7 @@
         return None;
     }
     controller.defer_stale_launches(id, &mut plan);
+    plan.fit_message();
     // The first call is made even without commands, as it tells the worker the fencing token.
     let is_first_call = owned_worker.status.is_none();
     if plan.commands.is_empty() && !is_first_call {
--- a/src/workers/heartbeat.rs
+++ b/src/workers/heartbeat.rs
@@ -253,11 +253,16 @@
         // The replica may have become too old during the wait for the claim.
         self.check_staleness()?;
         // Safety 4: an answer that renews the lease must also stop all cancelled tasks.
-        for stop in stops_of_cancelled_tasks(status, &self.replica.borrow()) {
-            if !plan.commands.contains(&stop) {
-                plan.commands.push(stop);
-            }
+        let stops = stops_of_cancelled_tasks(status, &self.replica.borrow());
+        if stops.len() > status.max_stops() {
+            // Not all of the tasks can be stopped at once, so the answer does not renew the
+            // lease. Direct calls stop them.
+            drop(owned_workers);
+            self.call_worker(id);
+            return Err(HeartbeatAnswer::without_commands(NO_TOKEN));
         }
+        plan.require_stops(stops);
+        plan.fit_message();
         if plan.launches() {
             owned_worker.launches_offered_on = Some(status.heartbeat_id());
         }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -27,6 +27,7 @@
 mod redirect_history;
 mod redirects;
 mod required_stops;
+mod surplus;
 mod termination;
 mod worker_plan;
 mod worker_table;
--- a/src/workers/owned_worker.rs
+++ b/src/workers/owned_worker.rs
@@ -12,7 +12,7 @@
 use crate::controller::shifted_past_pause;
 use crate::settings::CLOCK_DRIFT;
 use crate::state::records::HeartbeatId;
-use crate::wire::{CommandAction, WorkerCommand, WorkerStatus};
+use crate::wire::{CommandAction, MAX_TASKS_PER_MESSAGE, TaskStage, WorkerCommand, WorkerStatus};
 
 /// Time for which a worker must keep one epoch to count as reachable again, in leases. An
 /// epoch that lasts longer than a lease, with a margin, shows that the lease was renewed.
@@ -289,6 +289,21 @@
         !self.in_flight && !self.has_unanswered_launch && self.launches_offered_on.is_none()
     }
 
+    /// Returns the number of tasks in the newest status that may be told to stop now, besides
+    /// those that have been told and have not ended yet.
+    pub(super) fn max_new_stops(&self, status: &WorkerStatus) -> usize {
+        let max_stops = status.max_stops();
+        if max_stops == MAX_TASKS_PER_MESSAGE {
+            return max_stops;
+        }
+        let present = status.tasks.iter().filter(|t| t.stage != TaskStage::Ended);
+        let stopping = present.filter(|task| {
+            let attempt = TaskAttempt::new(task.task.clone(), task.attempt);
+            self.stop_commands.contains_key(&attempt)
+        });
+        max_stops.saturating_sub(stopping.count())
+    }
+
     /// Records commands that are about to be sent to the worker.
     pub(super) fn record_commands(&mut self, commands: &[WorkerCommand], now: Instant) {
         for command in commands {
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -1,17 +1,20 @@
 //! Plans the commands and terminations of a worker from the difference between the bookings
 //! of its machine and its newest status. This module sends no commands and changes no state.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use super::owned_worker::{OwnedWorker, StopCommand, TaskAttempt};
+use super::surplus::surplus_tasks;
 use super::termination::{AttemptKey, Termination, TerminationEvidence};
 use super::worker_plan::WorkerPlan;
 use crate::state::records::{Job, JobSpec, MachineLifecycle, Run, TaskOutcome, split_task};
 use crate::state::replica::{Replica, Versioned};
-use crate::wire::{CommandAction, ExitReason, TaskStage, TaskStatus};
+use crate::wire::{
+    CommandAction, ExitReason, MAX_TASKS_PER_MESSAGE, TaskStage, TaskStatus, WorkerStatus,
+};
 
 /// Grace period of a stop without its margin, as a multiple of the time that the job declares
 /// for saving a checkpoint.
@@ -62,40 +65,65 @@
     {
         return plan;
     }
+    let reported: HashMap<BookedTask, TaskStage> = status
+        .tasks
+        .iter()
+        .filter_map(|task| Some((BookedTask::reported(task)?, task.stage)))
+        .collect();
+    let stage_of = |task: &BookedTask| reported.get(task).copied();
     let reconciler = Reconciler {
         machine: id,
         lifecycle: machine.value.lifecycle,
         owned_worker,
         replica,
         pending_terminations,
+        surplus: surplus_tasks(id, replica, stage_of),
         retry_after,
         now,
     };
-    let mut reported = HashSet::new();
     for task in &status.tasks {
-        if let Some((job, number)) = split_task(&task.task) {
-            reported.insert(ReportedTask {
-                job,
-                number,
-                attempt: task.attempt,
-            });
-            reconciler.plan_reported(job, number, task, &mut plan);
+        if let Some(reported_task) = BookedTask::reported(task) {
+            reconciler.plan_reported(reported_task, task, &mut plan);
         }
     }
+    reconciler.plan_surplus(status, &mut plan);
+    plan.limit(CommandAction::Stop, owned_worker.max_new_stops(status));
     // Safety 3: only a status newer than every launch proves that a task missing from it is
     // not on the machine.
     if owned_worker.are_launches_settled() {
         reconciler.plan_missing(&reported, &mut plan);
+        let free_entries = free_entries(status, &plan);
+        plan.limit(CommandAction::Start, free_entries);
     }
     plan
 }
 
-/// A task in the worker's newest status.
-#[derive(PartialEq, Eq, Hash)]
-struct ReportedTask<'a> {
-    job: &'a str,
-    number: u32,
-    attempt: u64,
+/// Returns the number of tasks that the worker can list in addition to those in its status,
+/// once it has executed the planned commands.
+fn free_entries(status: &WorkerStatus, plan: &WorkerPlan) -> usize {
+    let listed = status.tasks.len() - plan.count(CommandAction::Forget);
+    MAX_TASKS_PER_MESSAGE.saturating_sub(listed)
+}
+
+/// One attempt of a task, which is booked on the machine or reported by its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) struct BookedTask<'a> {
+    pub(super) job: &'a str,
+    /// Number of the task within the job.
+    pub(super) number: u32,
+    pub(super) attempt: u64,
+}
+
+impl<'a> BookedTask<'a> {
+    /// Returns the task of an entry in a status, or `None` if its id is malformed.
+    fn reported(task: &'a TaskStatus) -> Option<Self> {
+        let (job, number) = split_task(&task.task)?;
+        Some(BookedTask {
+            job,
+            number,
+            attempt: task.attempt,
+        })
+    }
 }
 
 /// The inputs of one machine's plan.
@@ -106,26 +134,30 @@
     replica: &'a Replica,
     /// Terminations that wait to be recorded.
     pending_terminations: &'a BTreeMap<AttemptKey, TerminationEvidence>,
+    /// Booked tasks that the machine has too many of.
+    surplus: HashSet<BookedTask<'a>>,
     /// Time after which a stop without visible effect is repeated.
     retry_after: Duration,
     now: Instant,
 }
 
 impl Reconciler<'_> {
-    fn attempt_key(&self, job: &str, task: u32, attempt: u64) -> AttemptKey {
+    fn attempt_key(&self, task: BookedTask) -> AttemptKey {
         AttemptKey {
-            job: job.to_string(),
+            job: task.job.to_string(),
             machine: self.machine.to_string(),
-            attempt,
-            task,
+            attempt: task.attempt,
+            task: task.number,
         }
     }
 
     /// Plans the command or termination, if any, of a task that the worker reports.
-    fn plan_reported(&self, job: &str, number: u32, task: &TaskStatus, plan: &mut WorkerPlan) {
-        let entry = self.replica.jobs.get(job);
+    fn plan_reported(&self, reported: BookedTask, task: &TaskStatus, plan: &mut WorkerPlan) {
+        let entry = self.replica.jobs.get(reported.job);
         let booking = entry.and_then(|e| {
-            let run = e.value.find_run(self.machine, task.attempt, number)?;
+            let run = e
+                .value
+                .find_run(self.machine, task.attempt, reported.number)?;
             Some((&e.value, run))
         });
         let has_ended = task.stage == TaskStage::Ended;
@@ -135,12 +167,16 @@
                 // released and the worker is not commanded to forget the attempt.
                 if !self.owned_worker.has_unanswered_launch {
                     plan.terminations.push(Termination {
-                        key: self.attempt_key(job, number, task.attempt),
+                        key: self.attempt_key(reported),
                         outcome: outcome_of(task.exit_reason),
                     });
                 }
             }
-            Some((job, run)) => self.stop_booked(job, run, task, plan),
+            Some((job, run)) => {
+                if self.must_leave(job, run) {
+                    self.stop_booked(job, task, plan);
+                }
+            }
             None if has_ended => {
                 // The attempt has no booking to be released, so the worker may forget it.
                 if self.owned_worker.are_launches_settled() {
@@ -151,16 +187,32 @@
         }
     }
 
-    /// Plans the stop of a booked task if its job has ended, its run is to be stopped, or
-    /// its machine is being returned.
-    fn stop_booked(&self, job: &Job, run: &Run, task: &TaskStatus, plan: &mut WorkerPlan) {
+    /// Returns whether a booked task has to leave the machine: if its job has ended, its run is
+    /// to be stopped, or the machine is being returned.
+    fn must_leave(&self, job: &Job, run: &Run) -> bool {
         let is_returning = matches!(
             self.lifecycle,
             MachineLifecycle::Returning | MachineLifecycle::Gone
         );
-        if job.is_open() && !run.stop && !is_returning {
+        !job.is_open() || run.stop || is_returning
+    }
+
+    /// Plans the stops of the tasks that the machine has too many of, after all other stops.
+    fn plan_surplus(&self, status: &WorkerStatus, plan: &mut WorkerPlan) {
+        if self.surplus.is_empty() {
             return;
         }
+        for task in status.tasks.iter().filter(|t| t.stage != TaskStage::Ended) {
+            let surplus = BookedTask::reported(task).filter(|t| self.surplus.contains(t));
+            let job = surplus.and_then(|surplus| self.replica.jobs.get(surplus.job));
+            if let Some(entry) = job {
+                self.stop_booked(&entry.value, task, plan);
+            }
+        }
+    }
+
+    /// Plans the stop of a booked task, unless it is being stopped already.
+    fn stop_booked(&self, job: &Job, task: &TaskStatus, plan: &mut WorkerPlan) {
         let grace_s = stop_grace_s(job, job.spec.as_ref());
         let is_saving = task.stage == TaskStage::Saving;
         let is_due = match self.last_stop(task) {
@@ -194,18 +246,18 @@
     }
 
     /// Plans the launches and terminations of booked tasks that are missing from the status.
-    fn plan_missing(&self, reported: &HashSet<ReportedTask>, plan: &mut WorkerPlan) {
+    fn plan_missing(&self, reported: &HashMap<BookedTask, TaskStage>, plan: &mut WorkerPlan) {
         for (job, entry) in self.replica.jobs_on(self.machine) {
             let runs = entry.value.runs.iter();
             for run in runs.filter(|r| r.machine == self.machine) {
                 for number in run.tasks.iter() {
-                    let booked = ReportedTask {
+                    let booked = BookedTask {
                         job,
                         number,
                         attempt: run.attempt,
                     };
-                    if !reported.contains(&booked) {
-                        self.plan_missing_task(job, entry, run, number, plan);
+                    if !reported.contains_key(&booked) {
+                        self.plan_missing_task(booked, entry, run, plan);
                     }
                 }
             }
@@ -216,22 +268,23 @@
     /// the attempt is lost or must not be launched.
     fn plan_missing_task(
         &self,
-        job_id: &str,
+        booked: BookedTask,
         entry: &Versioned<Job>,
         run: &Run,
-        number: u32,
         plan: &mut WorkerPlan,
     ) {
-        let key = self.attempt_key(job_id, number, run.attempt);
+        let key = self.attempt_key(booked);
         let pending = self.pending_terminations.get(&key);
         let fencing_token = self.owned_worker.fencing_token;
         if pending.is_some_and(|evidence| evidence.fencing_token == fencing_token) {
             return;
         }
-        let attempt = TaskAttempt::new(format!("{job_id}/{number}"), run.attempt);
+        let task = format!("{}/{}", booked.job, booked.number);
+        let attempt = TaskAttempt::new(task, run.attempt);
         let job = &entry.value;
         if !job.is_open()
             || self.lifecycle != MachineLifecycle::Active
+            || self.surplus.contains(&booked)
             || self.is_lost(job, run, &attempt)
         {
             plan.terminations.push(Termination {
--- a/src/workers/worker_plan.rs
+++ b/src/workers/worker_plan.rs
@@ -1,9 +1,11 @@
 //! The plan that results from the reconciliation of one worker.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
+use super::owned_worker::TaskAttempt;
 use super::termination::Termination;
-use crate::wire::{CommandAction, WorkerCommand};
+use crate::wire::{CommandAction, MAX_TASKS_PER_MESSAGE, WorkerCommand};
 
 /// The commands to send to a worker, and the terminations to record.
 #[derive(Debug, Default, PartialEq)]
@@ -38,6 +40,47 @@
         true
     }
 
+    /// Returns the number of commands with this action.
+    pub(super) fn count(&self, action: CommandAction) -> usize {
+        let commands = self.commands.iter();
+        commands.filter(|c| c.action == action).count()
+    }
+
+    /// Removes all commands with this action but the first `limit`. Those that are removed are
+    /// planned again after the next status.
+    pub(super) fn limit(&mut self, action: CommandAction, limit: usize) {
+        let mut count = 0;
+        self.commands.retain(|command| {
+            count += usize::from(command.action == action);
+            command.action != action || count <= limit
+        });
+    }
+
+    /// Puts these stops before all other commands, in place of planned stops of the same
+    /// tasks.
+    pub(super) fn require_stops(&mut self, mut stops: Vec<WorkerCommand>) {
+        let required: HashSet<TaskAttempt> = stops.iter().map(TaskAttempt::from).collect();
+        self.commands.retain(|command| {
+            command.action != CommandAction::Stop || !required.contains(&TaskAttempt::from(command))
+        });
+        stops.append(&mut self.commands);
+        self.commands = stops;
+    }
+
+    /// Puts the commands into the order in which a worker has to execute them, and removes the
+    /// last ones if one message cannot contain all. Those that are removed are planned again.
+    ///
+    /// Stops come first, as the promise to users depends on them, and forgets come before
+    /// launches, as they make space in the worker's list of tasks.
+    pub fn fit_message(&mut self) {
+        self.commands.sort_by_key(|command| match command.action {
+            CommandAction::Stop => 0,
+            CommandAction::Forget => 1,
+            CommandAction::Start => 2,
+        });
+        self.commands.truncate(MAX_TASKS_PER_MESSAGE);
+    }
+
     /// Adds a command for an attempt of a task.
     pub(super) fn push_command(
         &mut self,
--- a/tests/decisions/scheduling.rs
+++ b/tests/decisions/scheduling.rs
@@ -355,6 +355,7 @@
     let free_cpus = |machine: &str| {
         plan.plan_slots[plan.slot_index_of(&replica, machine).expect("a plan slot")]
             .free
+            .resources
             .cpus
             .units()
     };
