An error response quotes at most 500 characters

Callers saw: a malformed submission of 60 KB of quotes got an answer on one line of 120,058 bytes, over the 64 KiB that PROTOCOL allows for a line to users.

Cause: the parser's error quotes the malformed field whole, and JSON escapes it again; nothing bounded the error as a message.

Mend: Response::error cuts the problem off after 500 characters, for all errors alike. Test: error_about_a_long_field_fits_a_line failed before with the 120,058 bytes, passes now.

--- a/src/http/message.rs
+++ b/src/http/message.rs
@@ -5,6 +5,9 @@
 
 use super::{CallError, HEAD_LIMIT, MAX_HEADERS};
 
+/// Maximum number of characters of the problem in an error response.
+const MAX_PROBLEM_CHARS: usize = 500;
+
 /// Request that the server has received.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -53,8 +56,10 @@
         }
     }
 
-    /// Returns an error response, `{"error": problem}`.
+    /// Returns an error response, `{"error": problem}`. A long problem is cut off, as it may
+    /// quote what the client has sent.
     pub fn error(status: u16, problem: &str) -> Self {
+        let problem: String = problem.chars().take(MAX_PROBLEM_CHARS).collect();
         Response::json(status, &serde_json::json!({ "error": problem }))
     }
 
--- a/tests/message_limits/main.rs
+++ b/tests/message_limits/main.rs
@@ -7,6 +7,7 @@
 mod stand_ins;
 
 mod full_machines;
+mod lines;
 mod overfull_machines;
 mod setup;
 mod sizes;
