Operators' answers have one field a line

Callers saw: with 100 unfinished jobs whose class has 200 characters that JSON escapes, /ops/report was one line of 135,720 bytes; with 400 teams /ops/teams was one of 86,716.

Cause: reports are written on one line, which grows with names, teams and controllers; only the number of jobs and moves on a page is bounded.

Mend: the answers under /ops/ are JSON with a line for each field. What they say is the same.

--- a/src/accounting/operators.rs
+++ b/src/accounting/operators.rs
@@ -43,7 +43,7 @@
             .map(|(name, account)| team_shares(name, account))
             .collect(),
     };
-    Response::json(200, &report)
+    Response::json_lines(200, &report)
 }
 
 /// Handles `GET /ops/shares/moves`: returns the latest moves, or the move with the given id.
@@ -54,10 +54,10 @@
     }
     match id {
         Some(id) => match move_answer(&replica, &controller.settings, id) {
-            Some(answer) => Response::json(200, &answer),
+            Some(answer) => Response::json_lines(200, &answer),
             None => Response::error(404, "unknown move"),
         },
-        None => Response::json(200, &latest_moves(&replica, &controller.settings)),
+        None => Response::json_lines(200, &latest_moves(&replica, &controller.settings)),
     }
 }
 
--- a/src/http/message.rs
+++ b/src/http/message.rs
@@ -56,6 +56,18 @@
         }
     }
 
+    /// Returns a response with a value as JSON on several lines, one for each field. The lines
+    /// stay short if the value is a long list.
+    pub fn json_lines<T: Serialize>(status: u16, value: &T) -> Self {
+        match serde_json::to_vec_pretty(value) {
+            Ok(body) => Response {
+                body,
+                ..Response::empty(status)
+            },
+            Err(_) => Response::error(500, "answer could not be written"),
+        }
+    }
+
     /// Returns an error response, `{"error": problem}`. A long problem is cut off, as it may
     /// quote what the client has sent.
     pub fn error(status: u16, problem: &str) -> Self {
