A gossip frame leaves out refused offers that do not fit

A peer drops the connection of a frame over 256 KiB, so a controller whose list of refused offers is that long looks dead to all others. With machine types and zones as the sites have them the list takes some hundred bytes.

Cause: the receiver bounds a frame, the sender did not. Mend: encode leaves out the offers beyond half a frame; they are hints only. Test: frame_with_many_refused_offers_is_accepted failed before, passes now.

--- a/src/gossip/message.rs
+++ b/src/gossip/message.rs
@@ -3,8 +3,11 @@
 
 use bincode::{Decode, Encode};
 
-/// Maximum length of a received message, in bytes.
-pub(super) const MAX_MESSAGE_BYTES: usize = 256 * 1024;
+/// Maximum length of a message, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 256 * 1024;
+
+/// Maximum number of bytes that encode the length of an offer's name.
+const OFFER_LENGTH_BYTES: usize = 9;
 
 /// The byte that acknowledges a frame.
 pub(super) const ACK: u8 = 1;
@@ -43,14 +46,35 @@
     Decode(#[from] bincode::error::DecodeError),
 }
 
-/// Returns the frame of a message: its length, followed by the message.
+/// Returns the frame of a message: its length, followed by the message. Refused offers that do
+/// not fit are left out, as peers would refuse the whole message otherwise.
 pub fn encode(status: &PeerStatus) -> Result<Vec<u8>, FrameError> {
-    let body = bincode::encode_to_vec(status, bincode::config::standard())?;
+    let mut body = encode_body(status)?;
+    if body.len() > MAX_MESSAGE_BYTES {
+        let mut limited = status.clone();
+        limited.refused_offers = offers_within_limit(&status.refused_offers);
+        body = encode_body(&limited)?;
+    }
     let mut frame = (body.len() as u32).to_be_bytes().to_vec();
     frame.extend(body);
     Ok(frame)
 }
 
+fn encode_body(status: &PeerStatus) -> Result<Vec<u8>, FrameError> {
+    let body = bincode::encode_to_vec(status, bincode::config::standard())?;
+    Ok(body)
+}
+
+/// Returns the first offers whose names take at most half of a message.
+fn offers_within_limit(offers: &[String]) -> Vec<String> {
+    let mut bytes = 0;
+    let fitting = offers.iter().take_while(|offer| {
+        bytes += offer.len() + OFFER_LENGTH_BYTES;
+        bytes <= MAX_MESSAGE_BYTES / 2
+    });
+    fitting.cloned().collect()
+}
+
 /// Decodes the message of a frame from the bytes that follow the length.
 pub fn decode(body: &[u8]) -> Result<PeerStatus, FrameError> {
     let config = bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-pub use message::{FrameError, PeerStatus, decode, encode};
+pub use message::{FrameError, MAX_MESSAGE_BYTES, PeerStatus, decode, encode};
 pub use peer_table::PeerTable;
 pub use receiver::run_receiver;
 pub use sender::run_sender;
--- a/tests/message_limits/lines.rs
+++ b/tests/message_limits/lines.rs
@@ -1,8 +1,9 @@
-//! Lines in responses to users and operators.
+//! Lines in responses to users and operators, and frames between controllers.
 
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use shelfhoist::gossip::{MAX_MESSAGE_BYTES, PeerStatus, decode, encode};
 use tokio::time::sleep;
 
 use crate::stand_ins::{DeploymentOptions, Simulation, job, run_in_simulated_time};
@@ -10,6 +11,9 @@
 /// Time after the start until all controllers answer.
 const START: Duration = Duration::from_secs(5);
 
+/// Number of bytes in a frame before its message: the length of the message.
+const FRAME_HEAD_BYTES: usize = 4;
+
 /// Guards against errors that quote a malformed field whole, with each quote in it escaped: the
 /// line was longer than the submission.
 #[test]
@@ -65,3 +69,32 @@
         }
     });
 }
+
+/// Guards against frames that no peer accepts: a controller whose refused offers are too many
+/// for a frame looked dead to all others.
+#[test]
+fn frame_with_many_refused_offers_is_accepted() {
+    for (offers, name_bytes) in [(0, 0), (10, 40), (5_000, 40), (20_000, 400), (1, 600_000)] {
+        let status = PeerStatus {
+            controller: "n0".into(),
+            incarnation: u64::MAX,
+            staleness_ms: Some(7),
+            owned_machines: 9,
+            silent_machines: 1,
+            write_demand: 2.5,
+            refused_offers: vec!["o".repeat(name_bytes); offers],
+        };
+        let case = format!("{offers} offers of {name_bytes} bytes");
+        let frame = encode(&status).expect("a frame");
+        assert!(
+            frame.len() <= FRAME_HEAD_BYTES + MAX_MESSAGE_BYTES,
+            "{case}"
+        );
+        let received = decode(&frame[FRAME_HEAD_BYTES..]).expect("a message");
+        assert_eq!(received.controller, "n0", "{case}");
+        assert_eq!(received.owned_machines, 9, "{case}");
+        if offers * name_bytes < MAX_MESSAGE_BYTES / 4 {
+            assert_eq!(received.refused_offers, status.refused_offers, "{case}");
+        }
+    }
+}
