--- a/src/cloud/job_demand.rs
+++ b/src/cloud/job_demand.rs
@@ -117,10 +117,10 @@
             && capacity.is_some_and(|capacity| capacity.fits_task(&spec.need))
     };
     let max_errors = FAULTY_JOB_THRESHOLD as u32 * 2;
-    let mut plan_slots = replica.plan_slots();
+    let mut machines = replica.placeable_machines();
     job.booked_count() == 0
         && job.failure_count <= max_errors
-        && !plan_slots.any(|slot| can_hold(&replica.classes[slot.class as usize]))
+        && !machines.any(|machine| can_hold(&replica.classes[machine.class as usize]))
 }
 
 /// Capacity that running array tasks will soon free and that no planned job counts on yet.
--- a/src/scheduler/assignment.rs
+++ b/src/scheduler/assignment.rs
@@ -5,9 +5,8 @@
 use std::collections::BinaryHeap;
 
 use super::candidates::{MachineCandidates, Score};
-use super::plan::Plan;
+use super::plan::{Plan, PlanSlot};
 use crate::state::records::Capacity;
-use crate::state::replica::PlanSlot;
 use crate::wire::JobKind;
 
 /// Machines that a job's tasks are assigned to.
--- a/src/scheduler/candidates.rs
+++ b/src/scheduler/candidates.rs
@@ -1,9 +1,9 @@
 //! Eligibility of machines for a job's tasks, and their scores.
 
 use super::hints::{AcceleratorProtection, PlacementHints};
-use super::plan::UNASSIGNED;
+use super::plan::{PlanSlot, UNASSIGNED};
 use crate::state::records::{Amount, Capacity, JobSpec};
-use crate::state::replica::{MachineClass, PlanSlot, Replica};
+use crate::state::replica::{MachineClass, Replica};
 use crate::wire::JobKind;
 use crate::workers;
 
--- a/src/scheduler/capacity_reservation.rs
+++ b/src/scheduler/capacity_reservation.rs
@@ -3,9 +3,8 @@
 
 use super::candidates::MachineCandidates;
 use super::hints::{AcceleratorProtection, PlacementHints};
-use super::plan::Plan;
+use super::plan::{Plan, PlanSlot};
 use crate::state::records::{Capacity, JobSpec};
-use crate::state::replica::PlanSlot;
 
 /// Reserves free capacity for a waiting gang in the zone that has capacity for the most of
 /// its tasks, so that jobs behind the gang in the queue do not use it. Machines
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -61,7 +61,7 @@
 pub use job_facts::{is_late, is_opportunistic, job_facts};
 pub use machine_shards::MachineShardEdits;
 pub use placement_state::PlacementState;
-pub use plan::{Plan, TaskPlacement, tasks_within_quota};
+pub use plan::{Plan, PlanSlot, TaskPlacement, tasks_within_quota};
 pub use preemption_candidates::{PreemptingJob, RunningWork, may_preempt};
 pub use queue::{FirstSeenTimes, queue};
 pub use record_size::tasks_within_record_limit;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -7,12 +7,37 @@
 
 use crate::settings::TeamQuota;
 use crate::state::records::{Amount, Capacity, Resources};
-use crate::state::replica::{PlanSlot, Replica};
+use crate::state::replica::{PlaceableMachine, Replica};
 
 /// Machine and zone shard number of a machine that is not provisioned yet, and index of a
 /// machine that is not in the plan.
 pub(super) const UNASSIGNED: u32 = u32::MAX;
 
+/// Machine in a plan.
+#[derive(Debug, Clone, Copy)]
+pub struct PlanSlot {
+    /// Number of the machine in `Replica::machine_names`, or `UNASSIGNED`.
+    pub machine: u32,
+    /// Number of the machine's zone shard in `Replica::zone_shard_names`, or `UNASSIGNED`.
+    pub shard: u32,
+    /// Number of the machine's class in `Replica::classes`.
+    pub class: u32,
+    /// Free capacity that the plan has not reserved.
+    pub free: Capacity,
+}
+
+impl PlanSlot {
+    /// Creates the slot of a machine with the capacity that its bookings leave.
+    fn new(replica: &Replica, machine: &PlaceableMachine) -> Self {
+        PlanSlot {
+            machine: machine.machine,
+            shard: machine.shard,
+            class: machine.class,
+            free: replica.free_capacity(machine),
+        }
+    }
+}
+
 /// Free capacity that a round plans with: what the bookings in the replica leave, less what
 /// the round has already reserved. Plans are cloned often, so the plan
 /// slots contain numbers instead of names.
@@ -32,8 +57,8 @@
     pub fn from_replica(replica: &Replica) -> Self {
         let mut plan = Plan {
             plan_slots: replica
-                .plan_slots()
-                .map(|slot| replica.with_free_capacity(slot))
+                .placeable_machines()
+                .map(|machine| PlanSlot::new(replica, machine))
                 .collect(),
             slot_index_by_machine: vec![UNASSIGNED; replica.machine_names.len()],
             team_usage: replica.teams_used().clone(),
--- a/src/state/replica/mod.rs
+++ b/src/state/replica/mod.rs
@@ -11,7 +11,7 @@
 //! | `updates` | updates of records: full reads, the watch, this controller's commits |
 //! | `tables` | the update of one record in the table of its kind |
 //! | `local_writes` | this controller's writes that are newer than `revision` |
-//! | `jobs`, `accepted_batches`, `machine_shards`, `plan_slots` | indexes that are derived from updated records |
+//! | `jobs`, `accepted_batches`, `machine_shards`, `placeable_machines` | indexes that are derived from updated records |
 //! | `unreadable` | records that cannot be read |
 //! | `queries`, `shares` | lookups in the replica |
 //! | `writes` | writes of records, in the encoding that all controllers can read |
@@ -20,7 +20,7 @@
 mod jobs;
 mod local_writes;
 mod machine_shards;
-mod plan_slots;
+mod placeable_machines;
 mod queries;
 mod shares;
 mod tables;
@@ -28,7 +28,7 @@
 mod updates;
 mod writes;
 
-pub use plan_slots::{MachineClass, PlanSlot};
+pub use placeable_machines::{MachineClass, PlaceableMachine};
 pub use shares::{MachineSums, fallback_controller};
 
 use std::cell::Cell;
@@ -136,9 +136,9 @@
     /// Classes of machines, by class number.
     pub classes: Vec<MachineClass>,
     /// Numbers of the classes of machines.
-    class_numbers: HashMap<plan_slots::ClassKey, u32>,
-    /// Machines of each zone shard, prepared for planning.
-    plan_slots: BTreeMap<String, Vec<PlanSlot>>,
+    class_numbers: HashMap<placeable_machines::ClassKey, u32>,
+    /// Machines of each zone shard on which tasks may be placed.
+    placeable_machines: BTreeMap<String, Vec<PlaceableMachine>>,
     /// Number of the zone shard that lists a machine, by machine number.
     slot_shards: HashMap<u32, u32>,
     /// Zone shards whose records are in the compact encoding.
--- a/src/state/replica/plan_slots.rs
+++ b/src/state/replica/placeable_machines.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use super::Replica;
-use crate::state::records::{Capacity, MachineSlot};
+use crate::state::records::{Capacity, MachineSlot, Resources};
 use crate::wire::MachineType;
 
 /// Class of machines with the same type, zone and spot flag. A job is allowed on all
@@ -45,18 +45,15 @@
 
 /// Entry of the index: a machine on which tasks may be placed.
 #[derive(Debug, Clone, Copy)]
-pub struct PlanSlot {
+pub struct PlaceableMachine {
     /// Number of the machine in `Replica::machine_names`.
     pub machine: u32,
     /// Number of the machine's zone shard in `Replica::zone_shard_names`.
     pub shard: u32,
     /// Number of the machine's class in `Replica::classes`.
     pub class: u32,
-    /// Free capacity, if the entry is part of a plan. In the index of the replica, the field
-    /// contains the capacity that tasks without a booking take, of which only the resources
-    /// are known; `Replica::with_free_capacity` turns an entry of the index into one for a
-    /// plan.
-    pub free: Capacity,
+    /// Resources that tasks without a booking take.
+    unbooked: Resources,
 }
 
 impl Replica {
@@ -71,23 +68,26 @@
         self.types.value.types.get(class.type_index?)
     }
 
-    /// Returns the index entries of all machines on which tasks may be placed.
-    pub fn plan_slots(&self) -> impl Iterator<Item = &PlanSlot> {
-        self.plan_slots.values().flatten()
+    /// Returns the machines on which tasks may be placed.
+    pub fn placeable_machines(&self) -> impl Iterator<Item = &PlaceableMachine> {
+        self.placeable_machines.values().flatten()
     }
 
-    /// Returns the entry for a plan, with the machine's free capacity according to the
-    /// bookings in this replica. A controller that books more on the machine also writes the
-    /// machine's zone shard. If a commit succeeds with the zone shard's version as a
-    /// precondition, the machine therefore has at least this free capacity.
-    pub fn with_free_capacity(&self, slot: &PlanSlot) -> PlanSlot {
-        let machine_type = self.class_type(&self.classes[slot.class as usize]);
+    /// Returns the free capacity of a machine according to the bookings in this replica. A
+    /// controller that books more on the machine also writes the machine's zone shard. If a
+    /// commit succeeds with the zone shard's version as a precondition, the machine therefore
+    /// has at least this free capacity.
+    pub fn free_capacity(&self, machine: &PlaceableMachine) -> Capacity {
+        let machine_type = self.class_type(&self.classes[machine.class as usize]);
         let capacity = machine_type.map_or(Capacity::default(), MachineType::capacity);
-        let booked = self.booked.get(&slot.machine).copied().unwrap_or_default();
-        PlanSlot {
-            free: capacity - booked - slot.free,
-            ..*slot
-        }
+        let booked = self
+            .booked
+            .get(&machine.machine)
+            .copied()
+            .unwrap_or_default();
+        let mut free = capacity - booked;
+        free.resources -= machine.unbooked;
+        free
     }
 
     /// Returns the slot of a machine in its zone shard.
@@ -105,12 +105,12 @@
         Some(self.zone_shard_names.name(*shard))
     }
 
-    /// Rebuilds the plan slots of a zone shard's machines.
+    /// Rebuilds the index entries of a zone shard's machines.
     pub(super) fn index_zone_shard(&mut self, id: &str) {
         let shard = self.zone_shard_names.number(id);
-        for slot in self.plan_slots.remove(id).into_iter().flatten() {
-            if self.slot_shards.get(&slot.machine) == Some(&shard) {
-                self.slot_shards.remove(&slot.machine);
+        for entry in self.placeable_machines.remove(id).into_iter().flatten() {
+            if self.slot_shards.get(&entry.machine) == Some(&shard) {
+                self.slot_shards.remove(&entry.machine);
             }
         }
         let Some(entry) = self.zone_shards.get(id) else {
@@ -123,22 +123,19 @@
             .iter()
             .map(|(name, slot)| (name.clone(), slot.clone()))
             .collect();
-        let plan_slots: Vec<PlanSlot> = machines
+        let entries: Vec<PlaceableMachine> = machines
             .into_iter()
-            .map(|(machine, slot)| PlanSlot {
+            .map(|(machine, slot)| PlaceableMachine {
                 machine: self.machine_names.number(&machine),
                 shard,
                 class: self.class_number(&slot.kind, &zone, slot.spot),
-                free: Capacity {
-                    resources: slot.unbooked,
-                    tasks: 0,
-                },
+                unbooked: slot.unbooked,
             })
             .collect();
-        for slot in &plan_slots {
-            self.slot_shards.insert(slot.machine, shard);
+        for entry in &entries {
+            self.slot_shards.insert(entry.machine, shard);
         }
-        self.plan_slots.insert(id.to_string(), plan_slots);
+        self.placeable_machines.insert(id.to_string(), entries);
     }
 
     /// Returns the number of a class of machines, and assigns one if it has none.
--- a/tests/decisions/shards.rs
+++ b/tests/decisions/shards.rs
@@ -248,7 +248,7 @@
     } = compaction::split_long(&replica, &left, &|_| true).expect("a split");
     assert_eq!((preconditions.len(), writes.len()), (2, 2));
     replica.apply_commit(&writes, 3);
-    assert_eq!(replica.plan_slots().count(), 700);
+    assert_eq!(replica.placeable_machines().count(), 700);
     assert!(compaction::split_long(&replica, &left, &|_| true).is_none());
     assert!(compaction::merge(&replica, &left, &|_| true).is_none());
 }
--- a/tests/limits/shards.rs
+++ b/tests/limits/shards.rs
@@ -133,7 +133,7 @@
         version += 1;
         replica.apply_commit(&writes, version);
         merges += 1;
-        assert_eq!(replica.plan_slots().count(), 6 * 54);
+        assert_eq!(replica.placeable_machines().count(), 6 * 54);
         for name in replica.machines.keys() {
             let shard = replica
                 .zone_shard_of(name)
--- a/tests/replica/history.rs
+++ b/tests/replica/history.rs
@@ -441,7 +441,7 @@
         let zone_shard = replica.zone_shard_of(&name);
         lines.insert(format!("{name} {jobs:?} {booked:?} {zone_shard:?}"));
     }
-    let slots = replica.plan_slots().count();
+    let slots = replica.placeable_machines().count();
     lines.insert(format!("{slots} slots"));
     lines
 }
