--- a/tests/decisions/scheduling.rs
+++ b/tests/decisions/scheduling.rs
@@ -336,6 +336,62 @@
     }
 }
 
+/// A machine takes no more tasks than its worker can list, whatever resources are free: placement
+/// fills the next machine, and gangs and reservations go where there is capacity for all tasks.
+#[test]
+fn tasks_that_a_worker_cannot_list_are_placed_elsewhere() {
+    let replica = replica_with_machines(&[("a", "m1", 64.0), ("b", "m2", 64.0)]);
+    // Each case has the kind of the job and its number of tasks, the numbers of tasks that the
+    // two machines can still list, and the placements and reservations on the machines.
+    let cases = [
+        (JobKind::Array, 5, [2, 9], Ok([2, 3]), [0, 5]),
+        (JobKind::Array, 5, [2, 0], Ok([2, 0]), [2, 0]),
+        (JobKind::Array, 5, [-3, 1], Ok([0, 1]), [0, 1]),
+        (JobKind::Service, 5, [1, 9], Ok([1, 4]), [0, 5]),
+        (JobKind::Gang, 5, [4, 9], Ok([0, 5]), [0, 5]),
+        (JobKind::Gang, 5, [2, 3], Ok([2, 3]), [0, 3]),
+        (
+            JobKind::Gang,
+            5,
+            [3, 1],
+            Err(WaitReason::NoCapacity),
+            [3, 0],
+        ),
+        (
+            JobKind::Array,
+            1,
+            [0, -1],
+            Err(WaitReason::NoCapacity),
+            [0, 0],
+        ),
+    ];
+    for (kind, tasks, listed, placed, reserved) in cases {
+        let case = format!("{kind:?}, {tasks} tasks, {listed:?}");
+        let spec = job_spec(kind, tasks, 0.001);
+        let mut plan = Plan::from_replica(&replica);
+        let slots = ["m1", "m2"].map(|m| plan.slot_index_of(&replica, m).expect("a plan slot"));
+        for (slot, free) in slots.into_iter().zip(listed) {
+            plan.plan_slots[slot].free.tasks = free;
+        }
+        let hints = placement_hints(&replica);
+        let found = scheduler::find_placements(
+            &Job::new(spec.clone(), 1),
+            &spec,
+            &plan,
+            &hints,
+            &settings(),
+            AcceleratorProtection::Strict,
+        );
+        let count = |slot: usize| move |p: &&scheduler::TaskPlacement| p.slot_index == slot;
+        let found = found.map(|found| slots.map(|slot| found.iter().filter(count(slot)).count()));
+        assert_eq!(found, placed, "{case}");
+        scheduler::reserve_capacity(&spec, &mut plan, &hints);
+        let left = slots.map(|slot| plan.plan_slots[slot].free.tasks);
+        let taken = [listed[0] - left[0], listed[1] - left[1]];
+        assert_eq!(taken, reserved, "{case}");
+    }
+}
+
 /// Capacity is reserved for the first large gang of the queue, so that later jobs do not use
 /// it. It is reserved only in the zone with the most free capacity.
 #[test]
