--- a/tests/message_limits/main.rs
+++ b/tests/message_limits/main.rs
@@ -11,3 +11,4 @@
 mod overfull_machines;
 mod setup;
 mod sizes;
+mod soak;
