--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -28,6 +28,7 @@
 mod redirects;
 mod required_stops;
 mod surplus;
+mod task_on_machine;
 mod termination;
 mod worker_plan;
 mod worker_table;
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -8,9 +8,10 @@
 
 use super::owned_worker::{OwnedWorker, StopCommand, TaskAttempt};
 use super::surplus::surplus_tasks;
+use super::task_on_machine::TaskOnMachine;
 use super::termination::{AttemptKey, Termination, TerminationEvidence};
 use super::worker_plan::WorkerPlan;
-use crate::state::records::{Job, JobSpec, MachineLifecycle, Run, TaskOutcome, split_task};
+use crate::state::records::{Job, JobSpec, MachineLifecycle, Run, TaskOutcome};
 use crate::state::replica::{Replica, Versioned};
 use crate::wire::{
     CommandAction, ExitReason, MAX_TASKS_PER_MESSAGE, TaskStage, TaskStatus, WorkerStatus,
@@ -65,12 +66,12 @@
     {
         return plan;
     }
-    let reported: HashMap<BookedTask, TaskStage> = status
+    let reported: HashMap<TaskOnMachine, TaskStage> = status
         .tasks
         .iter()
-        .filter_map(|task| Some((BookedTask::reported(task)?, task.stage)))
+        .filter_map(|task| Some((TaskOnMachine::reported(task)?, task.stage)))
         .collect();
-    let stage_of = |task: &BookedTask| reported.get(task).copied();
+    let stage_of = |task: &TaskOnMachine| reported.get(task).copied();
     let reconciler = Reconciler {
         machine: id,
         lifecycle: machine.value.lifecycle,
@@ -82,7 +83,7 @@
         now,
     };
     for task in &status.tasks {
-        if let Some(reported_task) = BookedTask::reported(task) {
+        if let Some(reported_task) = TaskOnMachine::reported(task) {
             reconciler.plan_reported(reported_task, task, &mut plan);
         }
     }
@@ -105,27 +106,6 @@
     MAX_TASKS_PER_MESSAGE.saturating_sub(listed)
 }
 
-/// One attempt of a task, which is booked on the machine or reported by its worker.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub(super) struct BookedTask<'a> {
-    pub(super) job: &'a str,
-    /// Number of the task within the job.
-    pub(super) number: u32,
-    pub(super) attempt: u64,
-}
-
-impl<'a> BookedTask<'a> {
-    /// Returns the task of an entry in a status, or `None` if its id is malformed.
-    fn reported(task: &'a TaskStatus) -> Option<Self> {
-        let (job, number) = split_task(&task.task)?;
-        Some(BookedTask {
-            job,
-            number,
-            attempt: task.attempt,
-        })
-    }
-}
-
 /// The inputs of one machine's plan.
 struct Reconciler<'a> {
     machine: &'a str,
@@ -135,14 +115,14 @@
     /// Terminations that wait to be recorded.
     pending_terminations: &'a BTreeMap<AttemptKey, TerminationEvidence>,
     /// Booked tasks that the machine has too many of.
-    surplus: HashSet<BookedTask<'a>>,
+    surplus: HashSet<TaskOnMachine<'a>>,
     /// Time after which a stop without visible effect is repeated.
     retry_after: Duration,
     now: Instant,
 }
 
 impl Reconciler<'_> {
-    fn attempt_key(&self, task: BookedTask) -> AttemptKey {
+    fn attempt_key(&self, task: TaskOnMachine) -> AttemptKey {
         AttemptKey {
             job: task.job.to_string(),
             machine: self.machine.to_string(),
@@ -152,7 +132,7 @@
     }
 
     /// Plans the command or termination, if any, of a task that the worker reports.
-    fn plan_reported(&self, reported: BookedTask, task: &TaskStatus, plan: &mut WorkerPlan) {
+    fn plan_reported(&self, reported: TaskOnMachine, task: &TaskStatus, plan: &mut WorkerPlan) {
         let entry = self.replica.jobs.get(reported.job);
         let booking = entry.and_then(|e| {
             let run = e
@@ -203,7 +183,7 @@
             return;
         }
         for task in status.tasks.iter().filter(|t| t.stage != TaskStage::Ended) {
-            let surplus = BookedTask::reported(task).filter(|t| self.surplus.contains(t));
+            let surplus = TaskOnMachine::reported(task).filter(|t| self.surplus.contains(t));
             let job = surplus.and_then(|surplus| self.replica.jobs.get(surplus.job));
             if let Some(entry) = job {
                 self.stop_booked(&entry.value, task, plan);
@@ -246,12 +226,12 @@
     }
 
     /// Plans the launches and terminations of booked tasks that are missing from the status.
-    fn plan_missing(&self, reported: &HashMap<BookedTask, TaskStage>, plan: &mut WorkerPlan) {
+    fn plan_missing(&self, reported: &HashMap<TaskOnMachine, TaskStage>, plan: &mut WorkerPlan) {
         for (job, entry) in self.replica.jobs_on(self.machine) {
             let runs = entry.value.runs.iter();
             for run in runs.filter(|r| r.machine == self.machine) {
                 for number in run.tasks.iter() {
-                    let booked = BookedTask {
+                    let booked = TaskOnMachine {
                         job,
                         number,
                         attempt: run.attempt,
@@ -268,7 +248,7 @@
     /// the attempt is lost or must not be launched.
     fn plan_missing_task(
         &self,
-        booked: BookedTask,
+        booked: TaskOnMachine,
         entry: &Versioned<Job>,
         run: &Run,
         plan: &mut WorkerPlan,
--- a/src/workers/surplus.rs
+++ b/src/workers/surplus.rs
@@ -8,7 +8,7 @@
 use std::cmp::Reverse;
 use std::collections::HashSet;
 
-use super::reconcile::BookedTask;
+use super::task_on_machine::TaskOnMachine;
 use crate::state::records::Job;
 use crate::state::replica::Replica;
 use crate::wire::{JobKind, MAX_TASKS_PER_MESSAGE, TaskStage};
@@ -29,8 +29,8 @@
 pub(super) fn surplus_tasks<'a>(
     machine: &str,
     replica: &'a Replica,
-    stage_of: impl Fn(&BookedTask) -> Option<TaskStage>,
-) -> HashSet<BookedTask<'a>> {
+    stage_of: impl Fn(&TaskOnMachine) -> Option<TaskStage>,
+) -> HashSet<TaskOnMachine<'a>> {
     let mut surplus = HashSet::new();
     if replica.booked_on(machine).tasks <= MAX_TASKS_PER_MESSAGE as i64 {
         return surplus;
@@ -42,7 +42,7 @@
         .partition(|(job, _)| is_array(job));
     let mut remaining = MAX_TASKS_PER_MESSAGE;
     for group in [others, arrays] {
-        let jobs: Vec<Vec<BookedTask>> = group.into_iter().map(|(_, tasks)| tasks).collect();
+        let jobs: Vec<Vec<TaskOnMachine>> = group.into_iter().map(|(_, tasks)| tasks).collect();
         let cap = tasks_per_job(jobs.iter().map(Vec::len).collect(), remaining);
         for mut tasks in jobs {
             tasks.sort_by_key(|task| {
@@ -71,12 +71,12 @@
 }
 
 /// Returns the tasks of a job that are booked on a machine and not to be stopped.
-fn staying_tasks<'a>(id: &'a str, job: &'a Job, machine: &str) -> Vec<BookedTask<'a>> {
+fn staying_tasks<'a>(id: &'a str, job: &'a Job, machine: &str) -> Vec<TaskOnMachine<'a>> {
     let runs = job.runs.iter();
     let runs = runs.filter(|run| run.machine == machine && !run.stop);
     let tasks = runs.flat_map(|run| run.tasks.iter().map(move |number| (number, run.attempt)));
     tasks
-        .map(|(number, attempt)| BookedTask {
+        .map(|(number, attempt)| TaskOnMachine {
             job: id,
             number,
             attempt,
