The stand-ins deliver copies of direct calls that were executed and answered

Cause: PROTOCOL lets a direct call arrive once more, minutes late, while its token and epoch are the worker's present ones. No stand-in did so, so no test could show what a copy starts. The rule checker reports each start that a copy caused (started_by_copy). The stand-in worker refuses a start while another attempt of the task runs (`busy`), forgets the attempt that it is told to forget and no other, can refuse starts for a given reason, give notice of preemption, and answer direct calls unreadably. Nothing is copied until a test sets the share. `job_with_run_times` stands with `job`, as a second test target needs it.

--- a/tests/meetings/fault_pairs.rs
+++ b/tests/meetings/fault_pairs.rs
@@ -10,8 +10,10 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::sleep;
 
-use crate::scenario::{cancel, heal_and_check, job_with_run_times, secs};
-use crate::stand_ins::{Scenario, Simulation, StateFault, StateFaultOptions, Worker, job};
+use crate::scenario::{cancel, heal_and_check, secs};
+use crate::stand_ins::{
+    Scenario, Simulation, StateFault, StateFaultOptions, Worker, job, job_with_run_times,
+};
 
 /// A fault that a test injects. The leader is the controller that owns the most
 /// machines.
--- a/tests/meetings/leader_changes.rs
+++ b/tests/meetings/leader_changes.rs
@@ -4,8 +4,10 @@
 
 use tokio::time::sleep;
 
-use crate::scenario::{cancel, heal_and_check, job_with_run_times, secs, start_long_jobs};
-use crate::stand_ins::{Scenario, Simulation, StateFault, StateFaultOptions, job};
+use crate::scenario::{cancel, heal_and_check, secs, start_long_jobs};
+use crate::stand_ins::{
+    Scenario, Simulation, StateFault, StateFaultOptions, job, job_with_run_times,
+};
 
 /// Faults that accompany the changes of the leader.
 #[derive(Clone, Copy, Default)]
--- a/tests/meetings/scenario.rs
+++ b/tests/meetings/scenario.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use serde_json::{Value, json};
+use serde_json::json;
 use tokio::time::{Instant, sleep};
 
 use crate::stand_ins::{Simulation, job};
@@ -97,10 +97,3 @@
     }
     ids
 }
-
-/// Returns a submission whose tasks have these run times, in seconds.
-pub fn job_with_run_times(number: u32, kind: &str, run_times_s: &[f64]) -> Value {
-    let mut submission = job(number, kind, run_times_s.len() as u32, 10.0);
-    submission["ends_s"] = json!(run_times_s);
-    submission
-}
--- a/tests/rule_checker/derived_rules.rs
+++ b/tests/rule_checker/derived_rules.rs
@@ -3,8 +3,9 @@
 use serde_json::{Value, json};
 
 use crate::history::{
-    Cancel, Case, Elapse, FIRST, FIRST_TASK, Poll, SECOND, StartTask, StartTasks, Submit,
-    WriteRecord, after_unrelated_start, long_batch, short_batch,
+    Cancel, Case, Elapse, FIRST, FIRST_TASK, ForgetTask, Poll, RepeatCommands, SECOND, StartTask,
+    StartTasks, StopTask, Submit, WriteRecord, after_unrelated_start, followed_by, long_batch,
+    long_task_started, short_batch,
 };
 use crate::stand_ins::{Rule, job, with_dependencies};
 
@@ -82,6 +83,13 @@
             compliant: || vec![StartTasks(0, 1000), Elapse(3.0)],
             violation: || vec![StartTasks(0, 1400), Elapse(3.0)],
         },
+        Case {
+            name: "a copy of a start command for a task that the worker has forgotten",
+            rule: Rule::StartedByCopy,
+            setup: || followed_by(long_task_started(), vec![StopTask(0, FIRST_TASK)]),
+            compliant: || vec![RepeatCommands, ForgetTask(0, FIRST_TASK)],
+            violation: || vec![ForgetTask(0, FIRST_TASK), RepeatCommands],
+        },
     ]
 }
 
--- a/tests/rule_checker/history.rs
+++ b/tests/rule_checker/history.rs
@@ -42,6 +42,10 @@
     StartTasks(usize, usize),
     /// Sends a machine the controller's command to stop a task.
     StopTask(usize, &'static str),
+    /// Sends a machine the controller's command to forget a task.
+    ForgetTask(usize, &'static str),
+    /// Delivers copies of all commands that machines have executed so far.
+    RepeatCommands,
     /// Makes the worker of a machine hang for this number of seconds.
     HangMachine(usize, f64),
     /// Removes a machine with all of its tasks, as if it were lost.
@@ -56,8 +60,8 @@
 }
 
 pub use Step::{
-    Cancel, Elapse, HangMachine, LoseMachine, Poll, PollFor, StartTask, StartTasks, StopTask,
-    Submit, SubmitWithStatus, WriteRecord,
+    Cancel, Elapse, ForgetTask, HangMachine, LoseMachine, Poll, PollFor, RepeatCommands, StartTask,
+    StartTasks, StopTask, Submit, SubmitWithStatus, WriteRecord,
 };
 
 /// A case of the rule checker: a history that continues once with a violation of a rule and
@@ -100,6 +104,8 @@
                 }
             }
             StopTask(machine, task) => controller.send_command(machine, "stop", task).await,
+            ForgetTask(machine, task) => controller.send_command(machine, "forget", task).await,
+            RepeatCommands => simulation.deliver_kept_calls().await,
             HangMachine(machine, seconds) => {
                 let name = format!("host-{machine:06}");
                 let worker = simulation.workers.borrow()[&name].0.clone();
@@ -154,6 +160,7 @@
         ..DeploymentOptions::default()
     };
     let simulation = Simulation::without_controllers(1, shape).await;
+    simulation.command_copies.keeps_calls.set(true);
     let controller = ScriptedController::serve(&simulation).await;
     // Waits until the machines have booted and their leases are renewed.
     sleep(Duration::from_secs(6)).await;
--- a/tests/stand_ins/cloud.rs
+++ b/tests/stand_ins/cloud.rs
@@ -154,6 +154,11 @@
             heartbeats_blocked: Cell::new(false),
             hung_until: Cell::new(None),
             command_delay: Cell::new(Duration::ZERO),
+            preemption_notice_s: Cell::new(None),
+            refusal: Cell::new(None),
+            unreadable_answer: Cell::new(None),
+            busy_refusals: RefCell::default(),
+            start_count: Cell::new(0),
             clock_rate: [1.0, 0.9995, 1.0005][number % 3],
             sent_heartbeats: RefCell::default(),
         });
--- a/tests/stand_ins/faults.rs
+++ b/tests/stand_ins/faults.rs
@@ -128,10 +128,13 @@
             .fault_options
             .replace(StateFaultOptions::default());
         self.copied_heartbeat_fraction.set(0.0);
+        self.command_copies.fraction.set(0.0);
         for (w, _) in self.workers.borrow().values() {
             w.inbound_blocked.set(false);
             w.heartbeats_blocked.set(false);
             w.command_delay.set(Duration::ZERO);
+            w.refusal.set(None);
+            w.unreadable_answer.set(None);
         }
         self.restore_controllers();
     }
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -5,6 +5,7 @@
 
 mod builder;
 mod cloud;
+mod command_copies;
 mod controllers;
 mod faults;
 mod frames;
@@ -25,8 +26,8 @@
 pub use rules::Rule;
 #[allow(unused_imports)]
 pub use scenario::{
-    CONTROLLERS, DeploymentOptions, Simulation, addr, controller_addr, job, run_in_real_time,
-    run_in_simulated_time, state_addr, with_dependencies,
+    CONTROLLERS, DeploymentOptions, Simulation, addr, controller_addr, job, job_with_run_times,
+    run_in_real_time, run_in_simulated_time, state_addr, with_dependencies,
 };
 #[allow(unused_imports)]
 pub use scripted::ScriptedController;
--- a/tests/stand_ins/rules.rs
+++ b/tests/stand_ins/rules.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use shelfhoist::wire::{CommandAction, WorkerCommands};
 use tokio::time::Instant;
 
 use super::scenario::Simulation;
@@ -44,11 +45,13 @@
     Misplaced,
     /// A message exceeded the size limit of the protocol.
     MessageSize,
+    /// A copy of a direct call that had been executed and answered started a task.
+    StartedByCopy,
 }
 
 impl Rule {
     /// All rules that the checker checks.
-    pub const ALL: [Rule; 14] = [
+    pub const ALL: [Rule; 15] = [
         Rule::RanTwice,
         Rule::Quota,
         Rule::WrongPlace,
@@ -63,6 +66,7 @@
         Rule::Orphaned,
         Rule::Misplaced,
         Rule::MessageSize,
+        Rule::StartedByCopy,
     ];
 
     /// Returns the rule's name in reports: the name in the protocol if it has one.
@@ -82,6 +86,7 @@
             Rule::Orphaned => "orphaned",
             Rule::Misplaced => "misplaced",
             Rule::MessageSize => "message_size",
+            Rule::StartedByCopy => "started_by_copy",
         }
     }
 }
@@ -248,6 +253,18 @@
         self.check_zones(task, id, &job);
     }
 
+    /// Reports that the copy of a direct call has started tasks.
+    pub(super) fn report_start_by_copy(&self, worker: &Worker, call: &WorkerCommands) {
+        let commands = call.commands.iter();
+        let starts = commands.filter(|command| command.action == CommandAction::Start);
+        let tasks: Vec<String> = starts
+            .map(|s| format!("{}@{}", s.task, s.attempt))
+            .collect();
+        let details = format!("{} on {}", tasks.join(" "), worker.name);
+        self.report_violation(Rule::StartedByCopy, &details);
+        self.command_copies.starts.borrow_mut().push(details);
+    }
+
     /// Reports a task that also runs on another machine.
     fn check_other_machines(&self, task: &str, worker: &Worker) {
         for (name, (other, _)) in self.workers.borrow().iter() {
--- a/tests/stand_ins/scenario.rs
+++ b/tests/stand_ins/scenario.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::cloud::CloudRateLimit;
+use super::command_copies::CommandCopies;
 use super::frames::{FrameRecorder, MAX_BODY_BYTES, RecordedClient};
 use super::rules::{JobPolls, JobResponses};
 use super::state_service::{StateLimits, StateService};
@@ -222,6 +223,8 @@
     pub(super) polls: RefCell<HashMap<String, JobPolls>>,
     /// Probability with which a copy of a heartbeat is recorded, to be delivered again later.
     pub copied_heartbeat_fraction: Cell<f64>,
+    /// Copies of direct calls to workers.
+    pub command_copies: CommandCopies,
     /// Copies of heartbeats that have not been delivered.
     pub(super) heartbeat_copies: RefCell<Vec<Vec<u8>>>,
     /// The setting `state.next` of the controllers that start from now on: the limits of the
@@ -305,6 +308,7 @@
             polls: RefCell::default(),
             copied_heartbeat_fraction: Cell::new(0.0),
             heartbeat_copies: RefCell::default(),
+            command_copies: CommandCopies::new(seed),
             rented_machine_count: Cell::new(0),
             failed_boot_zone: Cell::new(None),
             next: RefCell::default(),
@@ -379,6 +383,13 @@
         "due_s": null})
 }
 
+/// Returns a submission whose tasks have these run times, in seconds.
+pub fn job_with_run_times(number: u32, kind: &str, run_times_s: &[f64]) -> Value {
+    let mut submission = job(number, kind, run_times_s.len() as u32, 10.0);
+    submission["ends_s"] = json!(run_times_s);
+    submission
+}
+
 /// Returns the submission with dependencies on these jobs.
 pub fn with_dependencies(mut job: Value, dependencies: &[&str]) -> Value {
     job["awaits"] = json!(dependencies);
--- a/tests/stand_ins/worker.rs
+++ b/tests/stand_ins/worker.rs
@@ -2,7 +2,7 @@
 //! fencing tokens, leases and commands.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +26,12 @@
     exit_reason: Option<ExitReason>,
 }
 
+/// Outcome of a direct call, with the worker's status after it.
+pub(super) enum CallOutcome {
+    Executed(Value),
+    Refused(Value),
+}
+
 /// The worker of one machine.
 pub struct Worker {
     pub(super) name: String,
@@ -52,6 +58,16 @@
     pub(super) hung_until: Cell<Option<Instant>>,
     /// Fault: delay of the commands that controllers send to the worker.
     pub command_delay: Cell<Duration>,
+    /// Time until the cloud preempts the machine, in seconds, if it has given notice.
+    pub preemption_notice_s: Cell<Option<f64>>,
+    /// Fault: the worker refuses to start any task, for this reason.
+    pub refusal: Cell<Option<ExitReason>>,
+    /// Fault: the worker executes direct calls, but answers with this status and no body.
+    pub unreadable_answer: Cell<Option<u16>>,
+    /// Starts that were refused because another attempt of the task was on the machine.
+    pub(super) busy_refusals: RefCell<BTreeSet<(String, u64)>>,
+    /// Number of tasks that the worker has started.
+    pub(super) start_count: Cell<usize>,
     /// Bodies of the heartbeats sent so far, for duplicates that arrive late. They are kept
     /// only in a deployment without initial machines.
     pub sent_heartbeats: RefCell<Vec<Vec<u8>>>,
@@ -62,7 +78,7 @@
     fn report(&self) -> Value {
         self.sequence.set(self.sequence.get() + 1);
         let now = Instant::now();
-        let tasks: Vec<Value> = self
+        let mut tasks: Vec<Value> = self
             .tasks
             .borrow()
             .iter()
@@ -76,9 +92,14 @@
                 _ => json!({"board": id, "try": task.attempt, "stage": "running"}),
             })
             .collect();
+        let refusals = self.busy_refusals.borrow();
+        tasks.extend(refusals.iter().map(
+            |(id, attempt)| json!({"board": id, "try": attempt, "stage": "ended", "cause": "busy"}),
+        ));
         json!({"bay": self.name, "endpoint": self.address.to_string(), "grade": self.machine_type,
             "yard": self.zone, "loaners": false, "shift": self.epoch.get(),
-            "tally": self.sequence.get(), "baton": self.fencing_token.get(), "recall_s": null, "boards": tasks})
+            "tally": self.sequence.get(), "baton": self.fencing_token.get(),
+            "recall_s": self.preemption_notice_s.get(), "boards": tasks})
     }
 
     /// Adds the tasks that have completed to `done_tasks`.
@@ -99,34 +120,8 @@
             let mut tasks = self.tasks.borrow_mut();
             match command.action {
                 CommandAction::Start => {
-                    if tasks
-                        .get(&command.task)
-                        .is_some_and(|t| t.attempt == command.attempt)
-                    {
-                        continue;
-                    }
-                    let run_time = simulation.task_run_time(&command.task);
-                    let fails =
-                        self.fails_all_tasks.get() || simulation.is_faulty_job(&command.task);
-                    let exit_reason = fails.then_some(ExitReason::Error);
-                    // If the task completed earlier, its result was kept, so the new start
-                    // completes immediately.
-                    let run_time = match simulation.done_tasks.borrow().contains(&command.task) {
-                        true => Some(Duration::ZERO),
-                        false => run_time,
-                    };
-                    let ends = run_time.map(|run_time| Instant::now() + run_time);
-                    let attempt = command.attempt;
-                    tasks.insert(
-                        command.task.clone(),
-                        Task {
-                            attempt,
-                            ends,
-                            exit_reason,
-                        },
-                    );
                     drop(tasks);
-                    simulation.check_start(&command.task, self);
+                    self.start_task(simulation, &command.task, command.attempt);
                 }
                 CommandAction::Stop => {
                     if let Some(t) = tasks.get_mut(&command.task)
@@ -138,23 +133,84 @@
                     }
                 }
                 CommandAction::Forget => {
-                    if let Some(task) = tasks.remove(&command.task) {
-                        if task
-                            .exit_reason
-                            .is_none_or(|reason| reason == ExitReason::Done)
-                            && task.ends.is_some_and(|e| e <= Instant::now())
-                        {
-                            simulation
-                                .done_tasks
-                                .borrow_mut()
-                                .insert(command.task.clone());
-                        }
-                    }
+                    drop(tasks);
+                    self.forget_task(simulation, &command.task, command.attempt);
                 }
             }
         }
     }
 
+    /// Starts a task, unless the worker holds this attempt already or refuses the start.
+    fn start_task(&self, simulation: &Simulation, task: &str, attempt: u64) {
+        let refused = (task.to_string(), attempt);
+        let listed = self.tasks.borrow().get(task).map(|t| t.attempt);
+        if listed == Some(attempt) || self.busy_refusals.borrow().contains(&refused) {
+            return;
+        }
+        if self.is_running(task, simulation.shape.lease()) {
+            self.busy_refusals.borrow_mut().insert(refused);
+            return;
+        }
+        let fails = self.fails_all_tasks.get() || simulation.is_faulty_job(task);
+        let exit_reason = self.refusal.get().or(fails.then_some(ExitReason::Error));
+        // If the task completed earlier, its result was kept, so the new start completes
+        // immediately.
+        let run_time = match simulation.done_tasks.borrow().contains(task) {
+            true => Some(Duration::ZERO),
+            false => simulation.task_run_time(task),
+        };
+        let started = Task {
+            attempt,
+            ends: run_time.map(|run_time| Instant::now() + run_time),
+            exit_reason,
+        };
+        self.tasks.borrow_mut().insert(task.to_string(), started);
+        if self.refusal.get().is_none() {
+            self.start_count.set(self.start_count.get() + 1);
+            simulation.check_start(task, self);
+        }
+    }
+
+    /// Removes an ended attempt from the worker's list.
+    fn forget_task(&self, simulation: &Simulation, task: &str, attempt: u64) {
+        let refused = (task.to_string(), attempt);
+        if self.busy_refusals.borrow_mut().remove(&refused) {
+            return;
+        }
+        let now = Instant::now();
+        let mut tasks = self.tasks.borrow_mut();
+        let listed = tasks.get(task).filter(|t| t.attempt == attempt);
+        let Some(listed) = listed.cloned() else {
+            return;
+        };
+        let is_completed = listed.ends.is_some_and(|ends| ends <= now);
+        if listed.exit_reason.is_none() && !is_completed {
+            return;
+        }
+        tasks.remove(task);
+        let is_unfailed = listed
+            .exit_reason
+            .is_none_or(|reason| reason == ExitReason::Done);
+        if is_unfailed && is_completed {
+            simulation.done_tasks.borrow_mut().insert(task.to_string());
+        }
+    }
+
+    /// Executes the commands of a direct call and returns the worker's status, or refuses the
+    /// call if its fencing token or its epoch is not the present one.
+    pub(super) fn receive_commands(
+        &self,
+        simulation: &Simulation,
+        call: &WorkerCommands,
+    ) -> CallOutcome {
+        if call.fencing_token < self.fencing_token.get() || call.epoch != self.epoch.get() {
+            return CallOutcome::Refused(self.report());
+        }
+        self.fencing_token.set(call.fencing_token);
+        self.execute(simulation, &call.commands);
+        CallOutcome::Executed(self.report())
+    }
+
     /// Returns whether the task is on the machine and has not ended. A hung machine keeps its
     /// tasks until its lease expires.
     pub(super) fn is_running(&self, task: &str, lease: Duration) -> bool {
@@ -210,7 +266,7 @@
 
     /// Waits until the machine no longer hangs, then checks whether its lease has expired
     /// meanwhile.
-    async fn wait_while_hung(&self, lease: Duration) {
+    pub(super) async fn wait_while_hung(&self, lease: Duration) {
         while let Some(until) = self.hung_until.get() {
             if until <= Instant::now() {
                 self.hung_until.set(None);
@@ -231,6 +287,7 @@
     pub(super) fn expire_lease(&self, lease: Duration) {
         if !self.is_hung() && self.is_lease_expired(lease) {
             self.tasks.borrow_mut().clear();
+            self.busy_refusals.borrow_mut().clear();
             self.epoch.set(self.epoch.get() + 1);
             self.lease_renewed_at.set(Instant::now());
         }
@@ -276,14 +333,17 @@
                 let executed = spawn_local(async move {
                     sleep(worker.command_delay.get()).await;
                     worker.wait_while_hung(simulation.shape.lease()).await;
-                    if commands.fencing_token < worker.fencing_token.get()
-                        || commands.epoch != worker.epoch.get()
-                    {
-                        return Response::json(409, &worker.report());
-                    }
-                    worker.fencing_token.set(commands.fencing_token);
-                    worker.execute(&simulation, &commands.commands);
-                    Response::json(200, &worker.report())
+                    let response = match worker.receive_commands(&simulation, &commands) {
+                        CallOutcome::Executed(status) => {
+                            simulation.copy_executed_call(&worker, &request.body);
+                            Response::json(200, &status)
+                        }
+                        CallOutcome::Refused(status) => Response::json(409, &status),
+                    };
+                    worker
+                        .unreadable_answer
+                        .get()
+                        .map_or(response, Response::empty)
                 });
                 executed.await.expect("executed commands")
             })
