A late copy of an answered start command starts nothing

Cause: a worker carries out a direct call whenever its token and session are the present ones, and a copy of a start does nothing only while the worker lists the attempt. The owner told the worker to forget ended attempts under the very token of their start. What had been answered was taken as unable to arrive again; only the unanswered start was guarded. Change: what makes a worker drop an attempt, a forget or the start of another attempt of the task, goes out with a higher token than the start, if a direct call carried it: the worker adopts the token and drops the attempt in one step, and refuses copies from then on. The recorded token names the claim; a status counts if its token is one of the claim's. Wire and stored forms are as they were. Why it works: an attempt is either in the worker's list, where a copy does nothing, or its worker has seen a token above that of every call that could start it.

--- a/src/cloud/fleet_state.rs
+++ b/src/cloud/fleet_state.rs
@@ -84,19 +84,19 @@
 
     /// Records a heartbeat, and returns whether the worker is unreachable: its heartbeats
     /// arrive, but answers and commands do not reach the worker. This is the case if its
-    /// heartbeats have shown a fencing token below the recorded one for longer than the
-    /// worker's lease, regardless of which controller owns the machine.
+    /// heartbeats have shown a fencing token below `first_token`, the first one of the recorded
+    /// claim, for longer than the worker's lease, regardless of which controller owns the machine.
     ///
     /// An unreachable worker tries one controller after another, and each of them would claim
     /// the machine again. The machine is decommissioned instead.
     pub fn check_unreachable(
         &mut self,
         status: &WorkerStatus,
-        fencing_token: u64,
+        first_token: u64,
         lease: Duration,
         now: Instant,
     ) -> bool {
-        self.stale_tokens.observe(status, fencing_token, lease, now)
+        self.stale_tokens.observe(status, first_token, lease, now)
     }
 
     /// Returns the machines whose latest heartbeats show that they are unreachable.
--- a/src/cloud/stale_tokens.rs
+++ b/src/cloud/stale_tokens.rs
@@ -1,5 +1,5 @@
 //! Detects workers whose heartbeats arrive but which receive no answers and no commands:
-//! their heartbeats keep showing a fencing token below the recorded one.
+//! their heartbeats keep showing a fencing token below those of the recorded claim.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -20,7 +20,7 @@
     sequence: u64,
 }
 
-/// A series of heartbeats of one worker that show a token below the recorded one.
+/// A series of heartbeats of one worker that show a token below those of the recorded claim.
 #[derive(Debug, Clone, Copy)]
 struct StaleHeartbeats {
     /// The time of the first heartbeat in the series.
@@ -51,7 +51,7 @@
     }
 }
 
-/// The machines whose new heartbeats show a token below the recorded one.
+/// The machines whose new heartbeats show a token below those of the recorded claim.
 #[derive(Debug, Default)]
 pub(super) struct StaleTokens {
     by_machine: HashMap<String, StaleHeartbeats>,
@@ -59,17 +59,17 @@
 
 impl StaleTokens {
     /// Records a heartbeat, and returns whether the worker is unreachable: its heartbeats
-    /// have for longer than its lease shown a token below `fencing_token`, the recorded token
-    /// of its machine.
+    /// have for longer than its lease shown a token below `first_token`, the first one of the
+    /// recorded claim of its machine.
     pub(super) fn observe(
         &mut self,
         status: &WorkerStatus,
-        fencing_token: u64,
+        first_token: u64,
         lease: Duration,
         now: Instant,
     ) -> bool {
         let id = &status.machine;
-        if status.fencing_token >= fencing_token {
+        if status.fencing_token >= first_token {
             self.by_machine.remove(id);
             return false;
         }
--- a/src/state/records/machine.rs
+++ b/src/state/records/machine.rs
@@ -143,11 +143,12 @@
     /// Controller that sends commands to the machine; empty if none has claimed it.
     #[serde(rename = "h", default)]
     pub owner: String,
-    /// Incarnation of the owner that last increased the fencing token. After a restart,
-    /// the same controller must increase the token again before it sends commands.
+    /// Incarnation of the owner that made the last claim. After a restart, the same controller
+    /// must claim the machine again before it sends commands.
     #[serde(rename = "i", default)]
     pub incarnation: u64,
-    /// Fencing token of the owner's commands.
+    /// Last fencing token that the owner's claim has reserved. The owner's commands carry this
+    /// token or a lower one of the same claim; the next claim begins above it.
     #[serde(rename = "k", default)]
     pub fencing_token: u64,
     /// Heartbeat in response to which the machine was last claimed. Any controller that
--- a/src/workers/capacity_plan.rs
+++ b/src/workers/capacity_plan.rs
@@ -52,9 +52,7 @@
         let Some(machine) = replica.machines.get(id).map(|e| &e.value) else {
             continue;
         };
-        if machine.incarnation != controller.incarnation
-            || machine.fencing_token != owned_worker.fencing_token
-        {
+        if machine.incarnation != controller.incarnation || !owned_worker.is_recorded_in(machine) {
             continue;
         }
         match planner.desired_slot(id, owned_worker, machine) {
--- a/src/workers/claim_plan.rs
+++ b/src/workers/claim_plan.rs
@@ -9,11 +9,12 @@
 use crate::wire::{Precondition, WorkerStatus, Write};
 
 use super::claim_queue::Claim;
+use super::token_range::TokenRange;
 
 /// A claim that is part of the planned commit.
 pub(super) struct GrantedClaim {
     pub machine: String,
-    pub fencing_token: u64,
+    pub tokens: TokenRange,
     /// Id of the worker's newest known heartbeat, as written to the machine's record.
     pub newest_heartbeat: HeartbeatId,
 }
@@ -129,13 +130,14 @@
         if machine.lifecycle == MachineLifecycle::Booting {
             machine.lifecycle = MachineLifecycle::Active;
         }
-        machine.fencing_token = machine.fencing_token.max(status.fencing_token) + 1;
+        let tokens = TokenRange::after(machine.fencing_token.max(status.fencing_token));
+        machine.fencing_token = tokens.last();
         machine.owner = self.controller.to_string();
         machine.incarnation = self.incarnation;
         machine.claim_heartbeat = machine.claim_heartbeat.max(status.heartbeat_id());
         self.batch.granted.push(GrantedClaim {
             machine: id.to_string(),
-            fencing_token: machine.fencing_token,
+            tokens,
             newest_heartbeat: machine.claim_heartbeat,
         });
         self.machine_shards.put(id, machine);
--- a/src/workers/claims.rs
+++ b/src/workers/claims.rs
@@ -1,7 +1,7 @@
 //! Commits claims, by which this controller becomes the owner of machines.
 //!
-//! A claim writes this controller as the owner into the machine's record, with a fencing
-//! token one above the highest known. Claims are requested on receipt of heartbeats
+//! A claim writes this controller as the owner into the machine's record, and reserves a range
+//! of fencing tokens above the highest known one. Claims are requested on receipt of heartbeats
 //! (`claim_request`, `claim_queue`), and one commit contains several claims (`claim_plan`).
 
 use std::collections::HashMap;
@@ -134,7 +134,7 @@
     result
 }
 
-/// The fencing tokens of a machine before and after a claim by its present owner.
+/// The recorded fencing tokens of a machine before and after a claim by its present owner.
 struct RenewedToken {
     before: u64,
     after: u64,
@@ -142,8 +142,8 @@
 
 /// Updates the evidence of pending terminations to the new fencing token if this controller
 /// owned the machine before the claim as well. The terminations remain proven: as the new
-/// token is the old one plus 1, no other controller has owned the machine in between, and no
-/// task was launched since.
+/// tokens begin directly after the old ones, no other controller has owned the machine in
+/// between, and no task was launched since.
 fn renew_termination_evidence(controller: &Controller, granted: &[GrantedClaim]) {
     let owned_workers = controller.workers.owned();
     let mut renewed: HashMap<&str, RenewedToken> = HashMap::new();
@@ -152,10 +152,10 @@
             continue;
         };
         let token = RenewedToken {
-            before: owned_worker.fencing_token,
-            after: claim.fencing_token,
+            before: owned_worker.tokens().last(),
+            after: claim.tokens.last(),
         };
-        if token.before + 1 == token.after {
+        if token.before + 1 == claim.tokens.first() {
             renewed.insert(&claim.machine, token);
         }
     }
@@ -173,17 +173,18 @@
 fn acquire_worker(controller: &Controller, claim: GrantedClaim, revision: u64, now: Instant) {
     let GrantedClaim {
         machine,
-        fencing_token,
+        tokens,
         newest_heartbeat,
     } = claim;
     tracing::info!(
         machine,
-        fencing_token,
+        fencing_token = tokens.first(),
+        last_token = tokens.last(),
         revision,
         "worker ownership acquired"
     );
     let mut owned_workers = controller.workers.owned_mut();
-    let mut owned_worker = OwnedWorker::new(fencing_token, revision, now);
+    let mut owned_worker = OwnedWorker::new(tokens, revision, now);
     if let Some(earlier) = owned_workers.get(&machine) {
         owned_worker.inherit_from(earlier);
     }
--- a/src/workers/command_call.rs
+++ b/src/workers/command_call.rs
@@ -45,7 +45,7 @@
     let mut owned_workers = controller.workers.owned_mut();
     let Some(owned_worker) = owned_workers
         .get_mut(id)
-        .filter(|w| w.fencing_token == call.body.fencing_token)
+        .filter(|w| w.tokens().contains(call.body.fencing_token))
     else {
         return;
     };
@@ -92,10 +92,7 @@
     if !owned_worker.has_unanswered_launch {
         return;
     }
-    let status = controller.fleet.borrow().claim_status(machine).cloned();
-    if let Some(status) = status {
-        controller.request_claim(&status, ClaimPriority::Urgent);
-    }
+    controller.request_claim_of(machine, ClaimPriority::Urgent);
 }
 
 async fn post_commands(controller: &Controller, call: &CommandCall) -> Result<Response, CallError> {
@@ -129,7 +126,7 @@
         }
     };
     owned_worker.observe_status(&status, controller.settings.worker_lease(), now);
-    if status.fencing_token > call.body.fencing_token {
+    if status.fencing_token > owned_worker.tokens().last() {
         tracing::info!(
             machine,
             fencing_token = status.fencing_token,
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -7,7 +7,9 @@
 
 use tokio::time::{Instant, timeout};
 
+use super::claim_queue::ClaimPriority;
 use super::command_call::{CommandCall, send};
+use super::owned_worker::TokenChange;
 use super::reconcile::reconcile;
 use super::worker_plan::{WorkerPlan, includes_launch};
 use super::{OwnedWorker, Termination};
@@ -59,6 +61,33 @@
         }
     }
 
+    /// Makes the worker refuse late copies of earlier direct calls that could start tasks after
+    /// these commands: increments the fencing token if necessary. Requests a claim with further
+    /// tokens if few remain; commands that need a token are removed if none remains.
+    pub(super) fn fence_commands(
+        &self,
+        id: &str,
+        owned_worker: &mut OwnedWorker,
+        commands: &mut Vec<WorkerCommand>,
+    ) {
+        let priority = match owned_worker.fence(commands) {
+            TokenChange::Unchanged => return,
+            TokenChange::Raised => ClaimPriority::Normal,
+            TokenChange::Exhausted => ClaimPriority::Urgent,
+        };
+        if owned_worker.needs_tokens() {
+            self.request_claim_of(id, priority);
+        }
+    }
+
+    /// Requests another claim of an owned machine, which begins with a higher fencing token.
+    pub(super) fn request_claim_of(&self, id: &str, priority: ClaimPriority) {
+        let status = self.fleet.borrow().claim_status(id).cloned();
+        if let Some(status) = status {
+            self.request_claim(&status, priority);
+        }
+    }
+
     /// Marks a machine as changed and wakes the command loop. The loop calls the machine's
     /// worker if there are commands for it.
     pub(super) fn call_worker(&self, id: &str) {
@@ -116,6 +145,7 @@
     }
     controller.defer_stale_launches(id, &mut plan);
     plan.fit_message();
+    controller.fence_commands(id, owned_worker, &mut plan.commands);
     // The first call is made even without commands, as it tells the worker the fencing token.
     let is_first_call = owned_worker.status.is_none();
     if plan.commands.is_empty() && !is_first_call {
@@ -123,14 +153,14 @@
     }
     let (addr, epoch) = endpoint(controller, id, owned_worker)?;
     owned_worker.in_flight = true;
-    log_commands(id, owned_worker.fencing_token, &plan.commands);
-    owned_worker.record_commands(&plan.commands, now);
+    log_commands(id, owned_worker.fencing_token(), &plan.commands);
+    owned_worker.record_call(&plan.commands, now);
     Some(CommandCall {
         machine: id.to_string(),
         addr,
         deadlines: deadlines(controller, includes_launch(&plan.commands), now),
         body: WorkerCommands {
-            fencing_token: owned_worker.fencing_token,
+            fencing_token: owned_worker.fencing_token(),
             epoch,
             commands: plan.commands,
         },
--- a/src/workers/heartbeat.rs
+++ b/src/workers/heartbeat.rs
@@ -8,6 +8,7 @@
 
 use super::claim_queue::ClaimPriority;
 use super::heartbeat_answer::HeartbeatAnswer;
+use super::token_range::TokenRange;
 use super::worker_plan::WorkerPlan;
 use super::{must_stop, stops_of_cancelled_tasks};
 use crate::controller::Controller;
@@ -114,7 +115,8 @@
         }
         let lease = self.settings.worker_lease();
         let mut fleet = self.fleet.borrow_mut();
-        if fleet.check_unreachable(status, machine.fencing_token, lease, heartbeat.received_at) {
+        let first_token = TokenRange::recorded(machine.fencing_token).first();
+        if fleet.check_unreachable(status, first_token, lease, heartbeat.received_at) {
             return Err(HeartbeatAnswer::unavailable("it does not hear"));
         }
         if status.fencing_token > machine.fencing_token {
@@ -263,13 +265,14 @@
         }
         plan.require_stops(stops);
         plan.fit_message();
+        self.fence_commands(id, owned_worker, &mut plan.commands);
         if plan.launches() {
             owned_worker.launches_offered_on = Some(status.heartbeat_id());
         }
         owned_worker.record_commands(&plan.commands, heartbeat.received_at);
         owned_worker.last_answered_at = heartbeat.received_at;
         Ok(HeartbeatAnswer::Commands {
-            fencing_token: owned_worker.fencing_token,
+            fencing_token: owned_worker.fencing_token(),
             commands: plan.commands,
         })
     }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -1,8 +1,8 @@
 //! Manages the workers whose machines this controller owns: claims, heartbeats, commands
 //! and the terminations of tasks.
 //!
-//! A controller becomes the owner of a machine by a claim, a commit that increments the
-//! machine's fencing token. Only the owner renews the lease of the machine's worker and
+//! A controller becomes the owner of a machine by a claim, a commit that reserves a range of
+//! fencing tokens for the machine (`token_range`). Only the owner renews the lease of the machine's worker and
 //! sends commands to that worker. A worker whose lease expires ends all its tasks and
 //! begins a new epoch.
 //!
@@ -12,6 +12,7 @@
 //! [`stops_of_cancelled_tasks()`]. Commands reach the worker in the answer to a heartbeat
 //! (`heartbeat`) or in a direct call (`commands`).
 
+mod call_launches;
 mod capacity_plan;
 mod claim_plan;
 mod claim_queue;
@@ -30,10 +31,12 @@
 mod surplus;
 mod task_on_machine;
 mod termination;
+mod token_range;
 mod worker_plan;
 mod worker_table;
 mod zone_shards;
 
+pub use call_launches::CallLaunches;
 pub use claims::run_claims;
 pub use commands::run_commands;
 pub use owned_worker::{OwnedWorker, StopCommand, TaskAttempt, WorkerEpoch};
@@ -45,5 +48,6 @@
     AttemptKey, Termination, TerminationEvidence, queue_terminations_of_expired_leases,
     queue_terminations_of_gone_machines,
 };
+pub use token_range::{TOKENS_PER_CLAIM, TokenRange};
 pub use worker_plan::WorkerPlan;
 pub use worker_table::WorkerTable;
--- a/src/workers/owned_worker.rs
+++ b/src/workers/owned_worker.rs
@@ -2,16 +2,18 @@
 //!
 //! A controller owns a machine from the commit of its claim until another controller claims
 //! the machine. The state is kept in memory only and starts with the claim. A status of the
-//! worker is evidence only for the claim whose fencing token the status carries.
+//! worker is evidence only for the claim whose fencing tokens contain that of the status.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use super::call_launches::CallLaunches;
+use super::token_range::TokenRange;
 use crate::controller::shifted_past_pause;
 use crate::settings::CLOCK_DRIFT;
-use crate::state::records::HeartbeatId;
+use crate::state::records::{HeartbeatId, Machine};
 use crate::wire::{CommandAction, MAX_TASKS_PER_MESSAGE, TaskStage, WorkerCommand, WorkerStatus};
 
 /// Time for which a worker must keep one epoch to count as reachable again, in leases. An
@@ -52,6 +54,17 @@
     pub grace_s: f64,
 }
 
+/// The effect that commands have on the fencing token with which they are sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum TokenChange {
+    /// The commands are sent with the present token.
+    Unchanged,
+    /// The token was incremented for the commands.
+    Raised,
+    /// Commands were removed, as the claim has no further token.
+    Exhausted,
+}
+
 /// The present epoch of a worker. An epoch ends when the worker's lease expires.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WorkerEpoch {
@@ -65,13 +78,15 @@
 /// claim with the present fencing token.
 #[derive(Debug)]
 pub struct OwnedWorker {
-    /// Fencing token with which this controller claimed the machine.
-    pub fencing_token: u64,
+    /// Fencing tokens that the claim has reserved.
+    tokens: TokenRange,
+    /// Present fencing token, which every message to the worker carries.
+    fencing_token: u64,
     /// Revision of the claim's commit. Until the replica has reached this revision, bookings
     /// that an earlier owner acted on may be missing from the replica.
     pub claim_revision: u64,
-    /// Newest status that carries this fencing token; `None` until the first one, and again
-    /// after the worker's lease has expired.
+    /// Newest status that carries a fencing token of the claim; `None` until the first one,
+    /// and again after the worker's lease has expired.
     pub status: Option<WorkerStatus>,
     /// Time of the worker's last message, a heartbeat or an answer to a direct call.
     pub last_message_at: Instant,
@@ -91,8 +106,10 @@
     /// Newest heartbeat whose answer carried launches. Until a newer heartbeat arrives, it
     /// is unknown whether the worker has executed them.
     pub launches_offered_on: Option<HeartbeatId>,
-    /// Attempts whose launch was commanded with this fencing token.
+    /// Attempts whose launch was commanded under this claim.
     pub launched_attempts: HashSet<TaskAttempt>,
+    /// Attempts that a late copy of a direct call could launch if the worker dropped them.
+    call_launches: CallLaunches,
     /// Last stop command of each attempt.
     pub stop_commands: HashMap<TaskAttempt, StopCommand>,
     /// Jobs whose tasks have failed on the machine since a task last succeeded there.
@@ -117,11 +134,12 @@
 }
 
 impl OwnedWorker {
-    /// Creates the state of a worker whose machine was claimed with the given fencing token,
+    /// Creates the state of a worker whose machine was claimed with the given fencing tokens,
     /// in the commit with the given revision.
-    pub fn new(fencing_token: u64, claim_revision: u64, now: Instant) -> Self {
+    pub fn new(tokens: TokenRange, claim_revision: u64, now: Instant) -> Self {
         OwnedWorker {
-            fencing_token,
+            tokens,
+            fencing_token: tokens.first(),
             claim_revision,
             status: None,
             last_message_at: now,
@@ -132,6 +150,7 @@
             has_unanswered_launch: false,
             launches_offered_on: None,
             launched_attempts: HashSet::new(),
+            call_launches: CallLaunches::default(),
             stop_commands: HashMap::new(),
             failed_jobs: BTreeSet::new(),
             next_call_at: now,
@@ -142,6 +161,47 @@
         }
     }
 
+    /// Returns the present fencing token, which every message to the worker carries.
+    pub fn fencing_token(&self) -> u64 {
+        self.fencing_token
+    }
+
+    /// Returns the fencing tokens that the claim has reserved.
+    pub fn tokens(&self) -> TokenRange {
+        self.tokens
+    }
+
+    /// Returns whether the machine's record contains the claim of this state.
+    pub fn is_recorded_in(&self, machine: &Machine) -> bool {
+        machine.fencing_token == self.tokens.last()
+    }
+
+    /// Returns whether the machine should be claimed again to reserve further fencing tokens.
+    pub(super) fn needs_tokens(&self) -> bool {
+        self.tokens.is_nearly_exhausted(self.fencing_token)
+    }
+
+    /// Increments the fencing token if late copies of direct calls could start tasks once the
+    /// worker has executed the commands. If the claim has no further token, the commands that
+    /// need one are removed; they are planned again under the next claim.
+    pub(super) fn fence(&mut self, commands: &mut Vec<WorkerCommand>) -> TokenChange {
+        let launches = &self.call_launches;
+        if !commands.iter().any(|c| launches.is_exposed_by(c)) {
+            return TokenChange::Unchanged;
+        }
+        match self.tokens.next(self.fencing_token) {
+            Some(token) => {
+                self.fencing_token = token;
+                self.call_launches.clear();
+                TokenChange::Raised
+            }
+            None => {
+                commands.retain(|c| !launches.is_exposed_by(c));
+                TokenChange::Exhausted
+            }
+        }
+    }
+
     /// Copies the state that does not depend on the fencing token from the state under the
     /// previous claim.
     pub fn inherit_from(&mut self, earlier: &OwnedWorker) {
@@ -195,9 +255,9 @@
     /// in an answer to a direct call.
     pub fn observe_status(&mut self, status: &WorkerStatus, lease: Duration, now: Instant) {
         self.last_message_at = now;
-        // A worker that receives this controller's answers keeps its epoch, and adopts this
-        // controller's fencing token within a lease after the claim.
-        let ignores_token = status.fencing_token < self.fencing_token
+        // A worker that receives this controller's answers keeps its epoch, and adopts a
+        // fencing token of this claim within a lease after the claim.
+        let ignores_token = status.fencing_token < self.tokens.first()
             && now.saturating_duration_since(self.claimed_at) > lease;
         match self.epoch {
             Some(known) if known.number < status.epoch => self.begin_epoch(status, lease, now),
@@ -227,7 +287,7 @@
         self.has_unanswered_launch = false;
         self.launches_offered_on = None;
         let was_answered = now.saturating_duration_since(self.last_answered_at) < lease;
-        if was_answered && status.fencing_token == self.fencing_token {
+        if was_answered && self.tokens.contains(status.fencing_token) {
             self.mark_unreachable(now);
         }
         self.set_epoch(status, now);
@@ -244,11 +304,11 @@
         self.unreachable_since.get_or_insert(now);
     }
 
-    /// Stores a status if it carries this controller's fencing token and is newer than the
-    /// stored one; returns whether it was stored. Safety 3: an older status proves nothing
-    /// about tasks that have been launched since.
+    /// Stores a status if it carries a fencing token of the claim and is newer than the stored
+    /// one; returns whether it was stored. Safety 3: an older status proves nothing about tasks
+    /// that have been launched since.
     pub fn accept_status(&mut self, status: WorkerStatus, is_heartbeat: bool) -> bool {
-        if status.fencing_token != self.fencing_token {
+        if !self.tokens.contains(status.fencing_token) {
             return false;
         }
         if is_heartbeat && self.reachability_unconfirmed {
@@ -261,6 +321,9 @@
         {
             return false;
         }
+        if !self.is_token_plausible(&status) {
+            return false;
+        }
         // The worker sends a heartbeat newer than the one whose answer carried launches only
         // after it has executed or dropped that answer.
         if is_heartbeat
@@ -275,6 +338,27 @@
         true
     }
 
+    /// Checks the fencing token of a status that is newer than the stored one. A worker that
+    /// shows a lower token than before may have executed copies of earlier calls meanwhile, so
+    /// the status proves nothing until the worker has adopted the present token again. A token
+    /// that was never sent is adopted, as the worker refuses all commands with a lower one.
+    fn is_token_plausible(&mut self, status: &WorkerStatus) -> bool {
+        let (machine, shown) = (status.machine.as_str(), status.fencing_token);
+        let newest = self.status.as_ref();
+        let shown_before = newest.map_or(0, |newest| newest.fencing_token);
+        if shown < shown_before {
+            tracing::warn!(machine, shown, shown_before, "worker token went back");
+            return false;
+        }
+        if shown > self.fencing_token {
+            let fencing_token = self.fencing_token;
+            tracing::warn!(machine, shown, fencing_token, "worker token unexpected");
+            self.fencing_token = shown;
+            self.call_launches.clear();
+        }
+        true
+    }
+
     /// Drops the stop commands of attempts that the worker no longer reports.
     fn drop_stops_of_absent_attempts(&mut self, status: &WorkerStatus) {
         let tasks = status.tasks.iter();
@@ -304,6 +388,12 @@
         max_stops.saturating_sub(stopping.count())
     }
 
+    /// Records commands that are about to be sent to the worker in a direct call.
+    pub(super) fn record_call(&mut self, commands: &[WorkerCommand], now: Instant) {
+        self.call_launches.record(commands);
+        self.record_commands(commands, now);
+    }
+
     /// Records commands that are about to be sent to the worker.
     pub(super) fn record_commands(&mut self, commands: &[WorkerCommand], now: Instant) {
         for command in commands {
--- a/src/workers/termination.rs
+++ b/src/workers/termination.rs
@@ -42,7 +42,7 @@
 pub struct TerminationEvidence {
     /// Outcome of the attempt, as in [`Termination::outcome`].
     pub outcome: TaskOutcome,
-    /// Fencing token of the claim under which the outcome was proven.
+    /// Recorded fencing token of the claim under which the outcome was proven.
     pub fencing_token: u64,
 }
 
@@ -64,7 +64,7 @@
         let owned_worker = owned_workers.get_mut(&key.machine);
         // If the machine is not owned here, the evidence is the cloud's confirmation that
         // the machine is gone, which needs no fencing token.
-        let fencing_token = owned_worker.as_ref().map_or(0, |w| w.fencing_token);
+        let fencing_token = owned_worker.as_ref().map_or(0, |w| w.tokens().last());
         let known = pending.get(&key);
         if known.is_some_and(|evidence| evidence.fencing_token >= fencing_token) {
             return;
@@ -122,8 +122,7 @@
     let replica = controller.replica.borrow();
     for (id, owned_worker) in owned_workers.iter_mut() {
         let is_owned = replica.machines.get(id).is_some_and(|m| {
-            m.value.fencing_token == owned_worker.fencing_token
-                && m.value.incarnation == controller.incarnation
+            owned_worker.is_recorded_in(&m.value) && m.value.incarnation == controller.incarnation
         });
         if !is_owned || !owned_worker.has_lease_expired(lease, margin, now) {
             continue;
--- a/src/workers/worker_table.rs
+++ b/src/workers/worker_table.rs
@@ -114,7 +114,7 @@
         let owned_workers = self.workers.owned();
         match (owned_workers.get(machine), replica.machines.get(machine)) {
             (Some(owned_worker), Some(record)) => {
-                owned_worker.fencing_token == record.value.fencing_token
+                owned_worker.is_recorded_in(&record.value)
                     && record.value.incarnation == self.incarnation
             }
             _ => false,
--- a/tests/decisions/workers.rs
+++ b/tests/decisions/workers.rs
@@ -11,7 +11,7 @@
 use shelfhoist::scheduler::{ReleaseOutcome, Transaction};
 use shelfhoist::state::keys::machine_shard_key;
 use shelfhoist::workers::{
-    self, AttemptKey, OwnedWorker, TaskAttempt, TerminationEvidence, reconcile,
+    self, AttemptKey, OwnedWorker, TaskAttempt, TerminationEvidence, TokenRange, reconcile,
 };
 
 use shelfhoist::state::records::*;
@@ -208,7 +208,7 @@
     for (name, kind, fencing_token, tasks, edit, expected) in cases {
         let replica = replica_with_booking(*kind, |_| {});
         let now = Instant::now();
-        let mut owned_worker = OwnedWorker::new(5, 9, now);
+        let mut owned_worker = OwnedWorker::new(TokenRange::new(5, 5), 9, now);
         owned_worker.accept_status(worker_status(7, *fencing_token, (*tasks).clone()), true);
         edit(&mut owned_worker);
         let plan = reconcile(
@@ -243,7 +243,7 @@
 fn ended_task_is_forgotten_only_once_recorded() {
     let done = json!([{"board":"job-1/0","try":1,"stage":"ended","cause":"done"}]);
     let now = Instant::now();
-    let mut owned_worker = OwnedWorker::new(5, 9, now);
+    let mut owned_worker = OwnedWorker::new(TokenRange::new(5, 5), 9, now);
     owned_worker.accept_status(worker_status(7, 5, done), true);
     let recorded = replica_with_booking(JobKind::Array, |job| {
         job.release("m", 1, 0, TaskOutcome::Done);
@@ -272,7 +272,7 @@
 #[test]
 fn older_statuses_are_ignored() {
     let now = Instant::now();
-    let mut owned_worker = OwnedWorker::new(5, 9, now);
+    let mut owned_worker = OwnedWorker::new(TokenRange::new(5, 5), 9, now);
     assert!(owned_worker.accept_status(worker_status(7, 5, json!([])), true));
     assert!(
         !owned_worker.accept_status(worker_status(7, 5, json!([])), true),
@@ -365,7 +365,7 @@
     let lease = Duration::from_secs(10);
     let margin = Duration::from_secs(1);
     let start = Instant::now();
-    let mut owned_worker = OwnedWorker::new(5, 9, start);
+    let mut owned_worker = OwnedWorker::new(TokenRange::new(5, 5), 9, start);
     let after_lease = start + Duration::from_secs(12);
     assert!(
         !owned_worker.has_lease_expired(lease, margin, after_lease),
@@ -500,7 +500,7 @@
     ];
     for (name, heartbeats) in cases {
         let start = Instant::now();
-        let mut owned_worker = OwnedWorker::new(5, 1, start);
+        let mut owned_worker = OwnedWorker::new(TokenRange::new(5, 5), 1, start);
         for (n, (seconds, epoch, sequence, fencing_token, is_unreachable)) in
             heartbeats.iter().enumerate()
         {
@@ -543,7 +543,7 @@
 fn worker_that_sends_no_heartbeats_is_detected() {
     let lease = Duration::from_secs(10);
     let start = Instant::now();
-    let mut owned_worker = OwnedWorker::new(5, 1, start);
+    let mut owned_worker = OwnedWorker::new(TokenRange::new(5, 5), 1, start);
     // Each status has the time in seconds, the epoch, the sequence number, whether it came in a
     // heartbeat, and whether the worker counts as unreachable after it.
     for (seconds, epoch, sequence, is_heartbeat, is_unreachable) in [
--- a/tests/fleet/four_thousand.rs
+++ b/tests/fleet/four_thousand.rs
@@ -178,6 +178,7 @@
         let lease = Duration::from_secs_f64(lease_s);
         let controllers = shape.controllers;
         let simulation = Simulation::with_options(31, shape).await;
+        simulation.command_copies.fraction.set(0.1);
         wait_until_all_claimed_and_listed(&simulation, lease_s * 3.0, "a start").await;
         if let Some(limits) = reduced_limits {
             simulation.state.limits.set(limits);
--- a/tests/meetings/fault_pairs.rs
+++ b/tests/meetings/fault_pairs.rs
@@ -344,6 +344,7 @@
 async fn run_fault_pair(simulation: Rc<Simulation>, seed: u64, faults: [Fault; 2]) {
     let mut rng = SmallRng::seed_from_u64(seed);
     simulation.copied_heartbeat_fraction.set(0.05);
+    simulation.command_copies.fraction.set(0.2);
     let mut ids = Vec::new();
     let mut users: Vec<JoinHandle<()>> = Vec::new();
     for step in 0..110u32 {
--- a/tests/message_limits/soak.rs
+++ b/tests/message_limits/soak.rs
@@ -66,8 +66,10 @@
 
 impl Soak {
     async fn new(seed: u64) -> Self {
+        let simulation = start(seed).await;
+        simulation.command_copies.fraction.set(0.2);
         Soak {
-            simulation: start(seed).await,
+            simulation,
             rng: SmallRng::seed_from_u64(seed),
             jobs: Vec::new(),
             submitted: 0,
--- a/tests/service/heartbeats.rs
+++ b/tests/service/heartbeats.rs
@@ -67,6 +67,8 @@
         simulation.wait_for_stage(&first, "done", 100).await;
         let name = simulation.workers.borrow().keys().next().cloned();
         let name = name.expect("a machine");
+        // An answer with this token or a higher one renews the lease.
+        let token = simulation.workers.borrow()[&name].0.shown_token();
         simulation.state.fault.set(StateFault::CommitsRefused);
         // The worker's owner answers as usual; the others cannot claim the worker.
         let mut retaining_controllers = 0;
@@ -74,7 +76,7 @@
             let mut answers = Vec::new();
             for sequence in 100..107 {
                 let heartbeat = json!({"bay": name, "endpoint": "10.1.9.9:9000", "grade": "small",
-                    "yard": "a", "loaners": false, "shift": 1, "tally": sequence, "baton": 1,
+                    "yard": "a", "loaners": false, "shift": 1, "tally": sequence, "baton": token,
                     "recall_s": null, "boards": []});
                 let (status, body) = simulation
                     .send_request(i, "POST", "/agent/beat", Some(&heartbeat))
@@ -86,14 +88,14 @@
             }
             // The worker may be redirected once, to its preferred owner or its owner.
             answers.retain(|answer| answer.0 != 421);
-            if answers[0].1 == Some(1) {
+            if answers[0].1 >= Some(token) {
                 continue;
             }
             retaining_controllers += 1;
             assert_eq!(answers[0], (200, Some(0)), "{i}: {answers:?}");
             assert!(answers.contains(&(503, None)), "{i}: {answers:?}");
             assert!(
-                answers.iter().all(|answer| answer.1 != Some(1)),
+                answers.iter().all(|answer| answer.1 < Some(token)),
                 "{i}: {answers:?}"
             );
         }
--- a/tests/stand_ins/worker.rs
+++ b/tests/stand_ins/worker.rs
@@ -236,6 +236,11 @@
         &self.name
     }
 
+    /// Returns the highest fencing token that the worker has seen.
+    pub fn shown_token(&self) -> u64 {
+        self.fencing_token.get()
+    }
+
     /// Returns whether the machine hangs.
     pub fn is_hung(&self) -> bool {
         self.hung_until.get().is_some()
