An unreadable answer to a launch no longer keeps a machine idle

Cause: such an answer marked the launch as unanswered, so that neither launches nor ends followed until the worker showed a higher token, but only the path of a call without any answer asked for the claim that brings one: a check in one path and not in another. An answer with another status, such as 500, was not marked at all, so the end of an attempt could be concluded while its start could still be carried out. Change: all three paths go through require_new_token, which marks the launch and requests the claim; the next call waits for a heartbeat interval.

--- a/src/workers/command_call.rs
+++ b/src/workers/command_call.rs
@@ -58,8 +58,14 @@
             }
         }
         Ok(answer) => {
-            tracing::debug!(machine = id, status = answer.status, "commands refused");
+            // The worker may yet execute the commands.
+            tracing::warn!(
+                machine = id,
+                status = answer.status,
+                "command answer invalid"
+            );
             owned_worker.next_call_at = now + controller.settings.heartbeat_interval();
+            require_new_token(&controller, owned_worker, &call);
         }
         Err(error) => {
             owned_worker.next_call_at = now + controller.settings.heartbeat_interval();
@@ -86,13 +92,17 @@
         return;
     }
     tracing::debug!(machine, %error, "commands not answered");
-    // Safety 3: an unanswered launch may be executed late, until the worker has seen a
-    // higher fencing token. A claim is requested to increment the token.
+    require_new_token(controller, owned_worker, call);
+}
+
+/// Records that it is unknown whether a worker has executed a call. Safety 3: a launch may be
+/// executed late, until the worker has seen a higher fencing token. A claim is requested to
+/// increment the token.
+fn require_new_token(controller: &Controller, owned_worker: &mut OwnedWorker, call: &CommandCall) {
     owned_worker.has_unanswered_launch |= call.launches();
-    if !owned_worker.has_unanswered_launch {
-        return;
+    if owned_worker.has_unanswered_launch {
+        controller.request_claim_of(&call.machine, ClaimPriority::Urgent);
     }
-    controller.request_claim_of(machine, ClaimPriority::Urgent);
 }
 
 async fn post_commands(controller: &Controller, call: &CommandCall) -> Result<Response, CallError> {
@@ -120,8 +130,9 @@
     let status = match WorkerStatus::parse(&answer.body) {
         Ok(status) => status,
         Err(error) => {
-            tracing::debug!(machine, %error, "worker status invalid");
-            owned_worker.has_unanswered_launch |= call.launches();
+            tracing::warn!(machine, %error, "worker status invalid");
+            owned_worker.next_call_at = now + controller.settings.heartbeat_interval();
+            require_new_token(controller, owned_worker, call);
             return Ownership::Kept;
         }
     };
--- a/tests/late_commands/main.rs
+++ b/tests/late_commands/main.rs
@@ -9,3 +9,4 @@
 mod copies;
 mod setup;
 mod tokens;
+mod unreadable_answers;
