Each start, stop and forget is logged with its token and reason, and counted in the report

Change: events with fixed names, one a message with the tasks as ranges. At info `tasks started` (token, epoch, channel, revision, age of the last barrier, version of the booking) and `commands refused` (token and epoch of the call and of the worker); at debug `tasks stopped` and `tasks forgotten` with their reasons, in place of `command issued`. `shelfhoist report` counts starts by channel, stops, forgets, raised tokens, waits for tokens, refused and unanswered calls.

--- a/src/cli/render.rs
+++ b/src/cli/render.rs
@@ -3,6 +3,7 @@
 use crate::introspection::{FleetReport, JobDetails, RunDetails, TeamDetails, UnfinishedJob};
 use crate::policy::{JOB_VARIABLES, MACHINE_VARIABLES, Policy, Rule, Subject, Variable};
 use crate::wire::JobStage;
+use crate::workers::CommandCounts;
 
 /// Age of the state above which the report mentions it, in seconds.
 const STALE_STATE_S: f64 = 10.0;
@@ -131,9 +132,30 @@
     if !machines.is_empty() {
         text += &format!("Machines: {}.\n", machines.join(", "));
     }
+    text += &commands_text(&report.commands);
     text
 }
 
+/// Formats the numbers of commands that the controller has sent to workers; empty if it has
+/// sent none.
+fn commands_text(counts: &CommandCounts) -> String {
+    if *counts == CommandCounts::default() {
+        return String::new();
+    }
+    format!(
+        "Commands since the start: {} starts by call, {} by heartbeat, {} stops, {} forgets; \
+         tokens raised {}, exhausted {}; calls refused {}, unanswered {}.\n",
+        counts.started_by_call,
+        counts.started_by_heartbeat,
+        counts.stopped,
+        counts.forgotten,
+        counts.tokens_raised,
+        counts.tokens_exhausted,
+        counts.calls_refused,
+        counts.calls_unanswered,
+    )
+}
+
 /// Returns a warning if the report is based on missing or old state.
 fn state_age_text(age_s: Option<f64>) -> String {
     match age_s {
--- a/src/cloud/unhealthy_machines.rs
+++ b/src/cloud/unhealthy_machines.rs
@@ -128,7 +128,7 @@
         machine: &Machine,
         owned_worker: &OwnedWorker,
     ) -> Option<MachineRemoval> {
-        let is_owned = owned_worker.is_recorded_in(machine)
+        let is_owned = owned_worker.fencing.is_recorded_in(machine)
             && machine.incarnation == self.controller.incarnation;
         if !is_owned
             || !matches!(
--- a/src/introspection/messages.rs
+++ b/src/introspection/messages.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::wire::JobStage;
+use crate::workers::CommandCounts;
 
 /// Tasks of one attempt of a job that are booked on one machine.
 #[derive(Debug, Serialize, Deserialize)]
@@ -131,6 +132,9 @@
     pub machines: BTreeMap<String, usize>,
     /// Offers that the cloud has recently refused.
     pub refused_by_cloud: Vec<String>,
+    /// Numbers of commands that the controller has sent to workers since its start.
+    #[serde(default)]
+    pub commands: CommandCounts,
     /// Unfinished jobs in the order of their ids, at most 100.
     pub jobs: Vec<UnfinishedJob>,
     /// Last job id on this page; `None` on the last page. To get the next page, pass this id
--- a/src/introspection/snapshot.rs
+++ b/src/introspection/snapshot.rs
@@ -140,6 +140,7 @@
             services_short: count(|entry| entry.spec.kind == JobKind::Service),
             machines: self.machine_counts(),
             refused_by_cloud: self.refused_offers(),
+            commands: self.controller.workers.command_counts(),
             jobs,
             next,
         }
--- a/src/state/records/ranges.rs
+++ b/src/state/records/ranges.rs
@@ -1,5 +1,7 @@
 //! Defines sets of numbers that are stored as ranges, mainly for the numbers of tasks.
 
+use std::fmt;
+
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 /// Set of numbers of tasks or of machine names, stored as sorted, disjoint, closed ranges.
@@ -8,19 +10,22 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct NumberSet(pub Vec<(u32, u32)>);
 
+impl fmt::Display for NumberSet {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        for (index, (first, last)) in self.0.iter().enumerate() {
+            let comma = if index == 0 { "" } else { "," };
+            match first == last {
+                true => write!(f, "{comma}{first}")?,
+                false => write!(f, "{comma}{first}-{last}")?,
+            }
+        }
+        Ok(())
+    }
+}
+
 impl Serialize for NumberSet {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        use std::fmt::Write;
-        let mut text = String::with_capacity(self.0.len() * 8);
-        for (first, last) in &self.0 {
-            let comma = if text.is_empty() { "" } else { "," };
-            let _ = if first == last {
-                write!(text, "{comma}{first}")
-            } else {
-                write!(text, "{comma}{first}-{last}")
-            };
-        }
-        serializer.serialize_str(&text)
+        serializer.collect_str(self)
     }
 }
 
--- a/src/workers/capacity_plan.rs
+++ b/src/workers/capacity_plan.rs
@@ -52,7 +52,9 @@
         let Some(machine) = replica.machines.get(id).map(|e| &e.value) else {
             continue;
         };
-        if machine.incarnation != controller.incarnation || !owned_worker.is_recorded_in(machine) {
+        if machine.incarnation != controller.incarnation
+            || !owned_worker.fencing.is_recorded_in(machine)
+        {
             continue;
         }
         match planner.desired_slot(id, owned_worker, machine) {
--- a/src/workers/claims.rs
+++ b/src/workers/claims.rs
@@ -152,7 +152,7 @@
             continue;
         };
         let token = RenewedToken {
-            before: owned_worker.tokens().last(),
+            before: owned_worker.fencing.range().last(),
             after: claim.tokens.last(),
         };
         if token.before + 1 == claim.tokens.first() {
--- a/src/workers/command_call.rs
+++ b/src/workers/command_call.rs
@@ -45,7 +45,7 @@
     let mut owned_workers = controller.workers.owned_mut();
     let Some(owned_worker) = owned_workers
         .get_mut(id)
-        .filter(|w| w.tokens().contains(call.body.fencing_token))
+        .filter(|w| w.fencing.range().contains(call.body.fencing_token))
     else {
         return;
     };
@@ -99,6 +99,9 @@
 /// executed late, until the worker has seen a higher fencing token. A claim is requested to
 /// increment the token.
 fn require_new_token(controller: &Controller, owned_worker: &mut OwnedWorker, call: &CommandCall) {
+    controller
+        .workers
+        .count(|counts| counts.calls_unanswered += 1);
     owned_worker.has_unanswered_launch |= call.launches();
     if owned_worker.has_unanswered_launch {
         controller.request_claim_of(&call.machine, ClaimPriority::Urgent);
@@ -117,6 +120,19 @@
         .await
 }
 
+/// Logs a call that the worker refused, with the token and the epoch that it has shown.
+fn log_refused_call(controller: &Controller, call: &CommandCall, status: &WorkerStatus) {
+    controller.workers.count(|counts| counts.calls_refused += 1);
+    tracing::info!(
+        machine = call.machine,
+        fencing_token = call.body.fencing_token,
+        shown_token = status.fencing_token,
+        epoch = call.body.epoch,
+        shown_epoch = status.epoch,
+        "commands refused"
+    );
+}
+
 /// Records the status in a worker's answer to a call, and returns whether the answer shows
 /// that another controller owns the machine.
 fn accept_answer(
@@ -137,7 +153,10 @@
         }
     };
     owned_worker.observe_status(&status, controller.settings.worker_lease(), now);
-    if status.fencing_token > owned_worker.tokens().last() {
+    if answer.status == 409 {
+        log_refused_call(controller, call, &status);
+    }
+    if status.fencing_token > owned_worker.fencing.range().last() {
         tracing::info!(
             machine,
             fencing_token = status.fencing_token,
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -9,7 +9,8 @@
 
 use super::claim_queue::ClaimPriority;
 use super::command_call::{CommandCall, send};
-use super::owned_worker::TokenChange;
+use super::command_log::Channel;
+use super::fencing::TokenChange;
 use super::reconcile::reconcile;
 use super::worker_plan::{WorkerPlan, includes_launch};
 use super::{OwnedWorker, Termination};
@@ -70,12 +71,19 @@
         owned_worker: &mut OwnedWorker,
         commands: &mut Vec<WorkerCommand>,
     ) {
-        let priority = match owned_worker.fence(commands) {
+        let priority = match owned_worker.fencing.raise_for(commands) {
             TokenChange::Unchanged => return,
-            TokenChange::Raised => ClaimPriority::Normal,
-            TokenChange::Exhausted => ClaimPriority::Urgent,
+            TokenChange::Raised => {
+                self.workers.count(|counts| counts.tokens_raised += 1);
+                ClaimPriority::Normal
+            }
+            TokenChange::Exhausted => {
+                self.workers.count(|counts| counts.tokens_exhausted += 1);
+                tracing::info!(machine = id, "fencing tokens exhausted");
+                ClaimPriority::Urgent
+            }
         };
-        if owned_worker.needs_tokens() {
+        if owned_worker.fencing.needs_tokens() {
             self.request_claim_of(id, priority);
         }
     }
@@ -153,33 +161,20 @@
     }
     let (addr, epoch) = endpoint(controller, id, owned_worker)?;
     owned_worker.in_flight = true;
-    log_commands(id, owned_worker.fencing_token(), &plan.commands);
+    controller.log_commands(id, owned_worker, &plan.commands, Channel::Call);
     owned_worker.record_call(&plan.commands, now);
     Some(CommandCall {
         machine: id.to_string(),
         addr,
         deadlines: deadlines(controller, includes_launch(&plan.commands), now),
         body: WorkerCommands {
-            fencing_token: owned_worker.fencing_token(),
+            fencing_token: owned_worker.fencing.token(),
             epoch,
             commands: plan.commands,
         },
     })
 }
 
-fn log_commands(machine: &str, fencing_token: u64, commands: &[WorkerCommand]) {
-    for command in commands {
-        tracing::debug!(
-            command = ?command.action,
-            task = command.task,
-            attempt = command.attempt,
-            machine,
-            fencing_token,
-            "command issued"
-        );
-    }
-}
-
 /// Returns the address at which the worker accepts calls, and its present epoch.
 fn endpoint(
     controller: &Controller,
--- a/src/workers/heartbeat.rs
+++ b/src/workers/heartbeat.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::claim_queue::ClaimPriority;
+use super::command_log::Channel;
 use super::heartbeat_answer::HeartbeatAnswer;
 use super::token_range::TokenRange;
 use super::worker_plan::WorkerPlan;
@@ -269,10 +270,11 @@
         if plan.launches() {
             owned_worker.launches_offered_on = Some(status.heartbeat_id());
         }
+        self.log_commands(id, owned_worker, &plan.commands, Channel::HeartbeatAnswer);
         owned_worker.record_commands(&plan.commands, heartbeat.received_at);
         owned_worker.last_answered_at = heartbeat.received_at;
         Ok(HeartbeatAnswer::Commands {
-            fencing_token: owned_worker.fencing_token(),
+            fencing_token: owned_worker.fencing.token(),
             commands: plan.commands,
         })
     }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -12,14 +12,15 @@
 //! [`stops_of_cancelled_tasks()`]. Commands reach the worker in the answer to a heartbeat
 //! (`heartbeat`) or in a direct call (`commands`).
 
-mod call_launches;
 mod capacity_plan;
 mod claim_plan;
 mod claim_queue;
 mod claim_request;
 mod claims;
 mod command_call;
+mod command_log;
 mod commands;
+mod fencing;
 mod heartbeat;
 mod heartbeat_answer;
 mod owned_worker;
@@ -36,9 +37,10 @@
 mod worker_table;
 mod zone_shards;
 
-pub use call_launches::CallLaunches;
 pub use claims::run_claims;
+pub use command_log::CommandCounts;
 pub use commands::run_commands;
+pub use fencing::Fencing;
 pub use owned_worker::{OwnedWorker, StopCommand, TaskAttempt, WorkerEpoch};
 pub use publication::run_publication;
 pub use reconcile::{reconcile, stop_grace_s};
--- a/src/workers/owned_worker.rs
+++ b/src/workers/owned_worker.rs
@@ -9,11 +9,11 @@
 
 use tokio::time::Instant;
 
-use super::call_launches::CallLaunches;
+use super::fencing::Fencing;
 use super::token_range::TokenRange;
 use crate::controller::shifted_past_pause;
 use crate::settings::CLOCK_DRIFT;
-use crate::state::records::{HeartbeatId, Machine};
+use crate::state::records::HeartbeatId;
 use crate::wire::{CommandAction, MAX_TASKS_PER_MESSAGE, TaskStage, WorkerCommand, WorkerStatus};
 
 /// Time for which a worker must keep one epoch to count as reachable again, in leases. An
@@ -54,17 +54,6 @@
     pub grace_s: f64,
 }
 
-/// The effect that commands have on the fencing token with which they are sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum TokenChange {
-    /// The commands are sent with the present token.
-    Unchanged,
-    /// The token was incremented for the commands.
-    Raised,
-    /// Commands were removed, as the claim has no further token.
-    Exhausted,
-}
-
 /// The present epoch of a worker. An epoch ends when the worker's lease expires.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WorkerEpoch {
@@ -78,10 +67,8 @@
 /// claim with the present fencing token.
 #[derive(Debug)]
 pub struct OwnedWorker {
-    /// Fencing tokens that the claim has reserved.
-    tokens: TokenRange,
-    /// Present fencing token, which every message to the worker carries.
-    fencing_token: u64,
+    /// Fencing tokens of the claim.
+    pub fencing: Fencing,
     /// Revision of the claim's commit. Until the replica has reached this revision, bookings
     /// that an earlier owner acted on may be missing from the replica.
     pub claim_revision: u64,
@@ -108,8 +95,6 @@
     pub launches_offered_on: Option<HeartbeatId>,
     /// Attempts whose launch was commanded under this claim.
     pub launched_attempts: HashSet<TaskAttempt>,
-    /// Attempts that a late copy of a direct call could launch if the worker dropped them.
-    call_launches: CallLaunches,
     /// Last stop command of each attempt.
     pub stop_commands: HashMap<TaskAttempt, StopCommand>,
     /// Jobs whose tasks have failed on the machine since a task last succeeded there.
@@ -138,8 +123,7 @@
     /// in the commit with the given revision.
     pub fn new(tokens: TokenRange, claim_revision: u64, now: Instant) -> Self {
         OwnedWorker {
-            tokens,
-            fencing_token: tokens.first(),
+            fencing: Fencing::new(tokens),
             claim_revision,
             status: None,
             last_message_at: now,
@@ -150,7 +134,6 @@
             has_unanswered_launch: false,
             launches_offered_on: None,
             launched_attempts: HashSet::new(),
-            call_launches: CallLaunches::default(),
             stop_commands: HashMap::new(),
             failed_jobs: BTreeSet::new(),
             next_call_at: now,
@@ -161,47 +144,6 @@
         }
     }
 
-    /// Returns the present fencing token, which every message to the worker carries.
-    pub fn fencing_token(&self) -> u64 {
-        self.fencing_token
-    }
-
-    /// Returns the fencing tokens that the claim has reserved.
-    pub fn tokens(&self) -> TokenRange {
-        self.tokens
-    }
-
-    /// Returns whether the machine's record contains the claim of this state.
-    pub fn is_recorded_in(&self, machine: &Machine) -> bool {
-        machine.fencing_token == self.tokens.last()
-    }
-
-    /// Returns whether the machine should be claimed again to reserve further fencing tokens.
-    pub(super) fn needs_tokens(&self) -> bool {
-        self.tokens.is_nearly_exhausted(self.fencing_token)
-    }
-
-    /// Increments the fencing token if late copies of direct calls could start tasks once the
-    /// worker has executed the commands. If the claim has no further token, the commands that
-    /// need one are removed; they are planned again under the next claim.
-    pub(super) fn fence(&mut self, commands: &mut Vec<WorkerCommand>) -> TokenChange {
-        let launches = &self.call_launches;
-        if !commands.iter().any(|c| launches.is_exposed_by(c)) {
-            return TokenChange::Unchanged;
-        }
-        match self.tokens.next(self.fencing_token) {
-            Some(token) => {
-                self.fencing_token = token;
-                self.call_launches.clear();
-                TokenChange::Raised
-            }
-            None => {
-                commands.retain(|c| !launches.is_exposed_by(c));
-                TokenChange::Exhausted
-            }
-        }
-    }
-
     /// Copies the state that does not depend on the fencing token from the state under the
     /// previous claim.
     pub fn inherit_from(&mut self, earlier: &OwnedWorker) {
@@ -257,10 +199,15 @@
         self.last_message_at = now;
         // A worker that receives this controller's answers keeps its epoch, and adopts a
         // fencing token of this claim within a lease after the claim.
-        let ignores_token = status.fencing_token < self.tokens.first()
+        let ignores_token = status.fencing_token < self.fencing.range().first()
             && now.saturating_duration_since(self.claimed_at) > lease;
         match self.epoch {
             Some(known) if known.number < status.epoch => self.begin_epoch(status, lease, now),
+            Some(known) if known.number > status.epoch => {
+                let (machine, epoch) = (status.machine.as_str(), known.number);
+                let shown_epoch = status.epoch;
+                tracing::warn!(machine, epoch, shown_epoch, "worker epoch went back");
+            }
             Some(known) => {
                 let epoch_age = now.saturating_duration_since(known.first_seen_at);
                 if !ignores_token && epoch_age > lease.mul_f64(REACHABLE_AGAIN_LEASES) {
@@ -286,8 +233,15 @@
         // for that epoch.
         self.has_unanswered_launch = false;
         self.launches_offered_on = None;
+        if let Some(known) = self.epoch
+            && status.epoch > known.number + 1
+        {
+            let (machine, epoch) = (status.machine.as_str(), known.number);
+            let shown_epoch = status.epoch;
+            tracing::info!(machine, epoch, shown_epoch, "worker epoch jumped");
+        }
         let was_answered = now.saturating_duration_since(self.last_answered_at) < lease;
-        if was_answered && self.tokens.contains(status.fencing_token) {
+        if was_answered && self.fencing.range().contains(status.fencing_token) {
             self.mark_unreachable(now);
         }
         self.set_epoch(status, now);
@@ -308,7 +262,7 @@
     /// one; returns whether it was stored. Safety 3: an older status proves nothing about tasks
     /// that have been launched since.
     pub fn accept_status(&mut self, status: WorkerStatus, is_heartbeat: bool) -> bool {
-        if !self.tokens.contains(status.fencing_token) {
+        if !self.fencing.range().contains(status.fencing_token) {
             return false;
         }
         if is_heartbeat && self.reachability_unconfirmed {
@@ -350,11 +304,10 @@
             tracing::warn!(machine, shown, shown_before, "worker token went back");
             return false;
         }
-        if shown > self.fencing_token {
-            let fencing_token = self.fencing_token;
+        let fencing_token = self.fencing.token();
+        if shown > fencing_token {
             tracing::warn!(machine, shown, fencing_token, "worker token unexpected");
-            self.fencing_token = shown;
-            self.call_launches.clear();
+            self.fencing.adopt(shown);
         }
         true
     }
@@ -390,7 +343,7 @@
 
     /// Records commands that are about to be sent to the worker in a direct call.
     pub(super) fn record_call(&mut self, commands: &[WorkerCommand], now: Instant) {
-        self.call_launches.record(commands);
+        self.fencing.record_call(commands);
         self.record_commands(commands, now);
     }
 
--- a/src/workers/reconcile.rs
+++ b/src/workers/reconcile.rs
@@ -62,7 +62,7 @@
     // Safety 2: act on bookings only once the replica has reached this controller's claim,
     // and only while that claim is the machine's newest one in the replica.
     if replica.revision < owned_worker.claim_revision
-        || !owned_worker.is_recorded_in(&machine.value)
+        || !owned_worker.fencing.is_recorded_in(&machine.value)
     {
         return plan;
     }
@@ -255,7 +255,7 @@
     ) {
         let key = self.attempt_key(booked);
         let pending = self.pending_terminations.get(&key);
-        let claim_token = self.owned_worker.tokens().last();
+        let claim_token = self.owned_worker.fencing.range().last();
         if pending.is_some_and(|evidence| evidence.fencing_token == claim_token) {
             return;
         }
--- a/src/workers/termination.rs
+++ b/src/workers/termination.rs
@@ -64,7 +64,9 @@
         let owned_worker = owned_workers.get_mut(&key.machine);
         // If the machine is not owned here, the evidence is the cloud's confirmation that
         // the machine is gone, which needs no fencing token.
-        let fencing_token = owned_worker.as_ref().map_or(0, |w| w.tokens().last());
+        let fencing_token = owned_worker
+            .as_ref()
+            .map_or(0, |w| w.fencing.range().last());
         let known = pending.get(&key);
         if known.is_some_and(|evidence| evidence.fencing_token >= fencing_token) {
             return;
@@ -122,7 +124,8 @@
     let replica = controller.replica.borrow();
     for (id, owned_worker) in owned_workers.iter_mut() {
         let is_owned = replica.machines.get(id).is_some_and(|m| {
-            owned_worker.is_recorded_in(&m.value) && m.value.incarnation == controller.incarnation
+            owned_worker.fencing.is_recorded_in(&m.value)
+                && m.value.incarnation == controller.incarnation
         });
         if !is_owned || !owned_worker.has_lease_expired(lease, margin, now) {
             continue;
--- a/src/workers/worker_table.rs
+++ b/src/workers/worker_table.rs
@@ -1,7 +1,7 @@
 //! Holds the state that a controller keeps of workers: the workers that it owns, the claims
 //! that wait to be committed, and the terminations that wait to be recorded.
 
-use std::cell::{Ref, RefCell, RefMut};
+use std::cell::{Cell, Ref, RefCell, RefMut};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
@@ -10,9 +10,11 @@
 use tokio::time::Instant;
 
 use super::claim_queue::ClaimQueue;
+use super::command_log::{Channel, CommandCounts};
 use super::redirect_history::RedirectHistory;
 use super::{AttemptKey, OwnedWorker, TerminationEvidence};
 use crate::controller::Controller;
+use crate::wire::{CommandAction, WorkerCommand};
 
 /// The workers that this controller owns, with their pending claims and terminations.
 #[derive(Debug, Default)]
@@ -23,6 +25,8 @@
     pending_terminations: RefCell<BTreeMap<AttemptKey, TerminationEvidence>>,
     /// Claims that wait to be committed.
     pub(super) claims: ClaimQueue,
+    /// Number of commands that were sent.
+    counts: Cell<CommandCounts>,
     /// Latest redirects of workers to other controllers.
     redirects: RefCell<RedirectHistory>,
     /// Notification that wakes the command loop when bookings or statuses have changed.
@@ -50,6 +54,33 @@
         }
     }
 
+    /// Returns the number of commands that this run of the controller has sent.
+    pub fn command_counts(&self) -> CommandCounts {
+        self.counts.get()
+    }
+
+    /// Changes the numbers of commands.
+    pub(super) fn count(&self, change: impl FnOnce(&mut CommandCounts)) {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
+    }
+
+    /// Counts the commands of one message.
+    pub(super) fn count_commands(&self, commands: &[WorkerCommand], channel: Channel) {
+        self.count(|counts| {
+            for command in commands {
+                let count = match (command.action, channel) {
+                    (CommandAction::Start, Channel::Call) => &mut counts.started_by_call,
+                    (CommandAction::Start, _) => &mut counts.started_by_heartbeat,
+                    (CommandAction::Stop, _) => &mut counts.stopped,
+                    (CommandAction::Forget, _) => &mut counts.forgotten,
+                };
+                *count += 1;
+            }
+        });
+    }
+
     pub(super) fn redirects_mut(&self) -> RefMut<'_, RedirectHistory> {
         self.redirects.borrow_mut()
     }
@@ -114,7 +145,7 @@
         let owned_workers = self.workers.owned();
         match (owned_workers.get(machine), replica.machines.get(machine)) {
             (Some(owned_worker), Some(record)) => {
-                owned_worker.is_recorded_in(&record.value)
+                owned_worker.fencing.is_recorded_in(&record.value)
                     && record.value.incarnation == self.incarnation
             }
             _ => false,
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -201,6 +201,7 @@
     let report: FleetReport = serde_json::from_value(serde_json::json!({
         "node": "n0", "state_age_s": 0.5, "unfinished": 1, "late": 1, "services_short": 0,
         "machines": {"active": 3}, "refused_by_cloud": ["occhio in porto"], "next": null,
+        "commands": {"started_by_call": 5, "tokens_raised": 2},
         "jobs": [{"job": "job-1", "class": "board-sort", "team": "t", "stage": "queued",
                   "left": 1, "late": true, "known_s": 300.0,
                   "reason": "no machine has enough free capacity", "reason_s": 120.0}]
@@ -212,6 +213,7 @@
         "LATE job-1 (board-sort of t): queued, 1 tasks left, known for 5 min 0 s; no machine has enough free capacity (for 2 min 0 s)",
         "The cloud refuses: occhio in porto.",
         "Machines: 3 active.",
+        "Commands since the start: 5 starts by call, 0 by heartbeat, 0 stops, 0 forgets; tokens raised 2, exhausted 0; calls refused 0, unanswered 0.",
     ] {
         assert!(text.contains(expected), "{expected}\n{text}");
     }
--- a/tests/service/jobs.rs
+++ b/tests/service/jobs.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde_json::json;
+use shelfhoist::workers::CommandCounts;
 use tokio::time::sleep;
 
 use crate::stand_ins::{CONTROLLERS, Scenario, job};
@@ -164,3 +165,28 @@
         simulation.assert_no_violations();
     });
 }
+
+/// Checks that the controllers' reports count every command that starts a task, and the tokens
+/// that were raised before tasks were forgotten.
+#[test]
+fn reports_count_the_commands_to_workers() {
+    Scenario::new(31).run(|simulation| async move {
+        let array = simulation.submit(job(1, "batch", 6, 2.0)).await;
+        simulation.wait_for_stage(&array, "done", 90).await;
+        sleep(Duration::from_secs(5)).await;
+        let (mut started, mut forgotten, mut raised) = (0, 0, 0);
+        for i in 0..CONTROLLERS {
+            let (status, body) = simulation.send_request(i, "GET", "/ops/report", None).await;
+            assert_eq!(status, 200);
+            let counts: CommandCounts =
+                serde_json::from_value(body["commands"].clone()).expect("counts");
+            started += counts.started_by_call + counts.started_by_heartbeat;
+            forgotten += counts.forgotten;
+            raised += counts.tokens_raised;
+        }
+        assert_eq!(started, simulation.task_start_count.get() as u64);
+        assert_eq!(forgotten, 6);
+        assert!(raised > 0);
+        simulation.assert_no_violations();
+    });
+}
