Review: a task starts after its cancellation was confirmed (case 7)

Cause: a start needs a read barrier of the last 1.1 s, not one from after the booking was seen. So an owner that learns of a booking late starts the task though another controller has confirmed the cancellation meanwhile.

Nothing outside review/ is changed.

--- a/review/stand_ins_2/state.py
+++ b/review/stand_ins_2/state.py
@@ -33,6 +33,7 @@
         self.holds = {}  # permit -> [deadline, ttl]
         self.next_permit = 1
         self.changed = asyncio.Event()
+        self.slow_watch = None  # function of a node and the events of an answer: seconds by which the answer is late
         self.requests, self.written = Bucket(limits["rps"]), Bucket(limits["write_rps"])
         self.outage = False
         self.refused = set()  # nodes that get 503
@@ -114,7 +115,7 @@
         if path == "/commit":
             return await self._commit_request(node, body)
         if path == "/watch":
-            return await self._watch(query)
+            return await self._watch(node, query)
         if path == "/store":
             return self._list(query)
         if path.startswith("/store/"):
@@ -152,7 +153,7 @@
             pairs.append({"key": key, "value": value, "stamp": stamp})
         return 200, {"pairs": pairs, "truncated": len(pairs) < len(keys), "ledger_rev": self.rev}
 
-    async def _watch(self, query):
+    async def _watch(self, node, query):
         prefix, after = query.get("prefix", ""), int(query.get("after", "0"))
         until = time.monotonic() + min(int(query.get("block_ms", "0")), 60_000) / 1000
         while True:
@@ -160,7 +161,11 @@
                 return 410, {"error": "too old"}
             events = [e for rev, e in self.changes if rev > after and (e.get("set") or e.get("remove")).startswith(prefix)]
             if events:
-                return 200, {"ledger_rev": self.rev, "events": events}
+                answer = {"ledger_rev": self.rev, "events": events}
+                late = self.slow_watch(node, events) if self.slow_watch else 0
+                if late:
+                    await asyncio.sleep(late)
+                return 200, answer
             left = until - time.monotonic()
             if left <= 0 and not self.outage:
                 return 200, {"ledger_rev": self.rev, "events": []}
