--- a/review/stand_ins_2/state.py
+++ b/review/stand_ins_2/state.py
@@ -203,10 +203,16 @@
         await asyncio.sleep(delay)
         while self.outage:
             await asyncio.sleep(0.1)
-        status, _ = self.commit(node, body)
-        self.record("state", f"late transaction of {node} carried out: {status} {[w.get('set') or w.get('remove') for w in body['writes']]}")
+        self.record("state", f"a transaction of {node} that got no answer is carried out now, {delay:.1f} s late:")
+        self.commit(node, body)
 
     def commit(self, node, body):
+        answer = self._commit(node, body)
+        keys = [w.get("set") or "-" + w.get("remove") for w in body.get("writes", [])]
+        self.record("state", f"commit of {node}: {answer[0]} {answer[1]} {keys}")
+        return answer
+
+    def _commit(self, node, body):
         writes = body.get("writes", [])
         for write in writes:
             permit = write.get("permit")
--- a/review/stand_ins_2/worker.py
+++ b/review/stand_ins_2/worker.py
@@ -206,9 +206,11 @@
                     self._launch(order["board"], order["try"], how)
             elif order["verb"] == "stop":
                 if task is not None and task.stage != "ended":
+                    self.site.record(self.name, f"stop {key[0]} try {key[1]} ({how})")
                     self._stop(task, order.get("easing_s", 0) or 0, how)
             elif order["verb"] == "forget":
                 if task is not None and task.stage == "ended":
+                    self.site.record(self.name, f"forget {key[0]} try {key[1]} ({how})")
                     del self.tasks[key]
 
     def _launch(self, board, attempt, how):
