Review: case 6 waits until the workers have reported; a hung stand-in loses its lease

And a stand-in that hung for longer than its lease kept its tasks until it went on, which a soak counted as ran_twice.

Change: 2.5 s more in case 6; a hung stand-in ends its tasks with its lease. No case has a machine that hangs.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -31,6 +31,7 @@
                 raise RuntimeError(f"{name} was not accepted")
         if not await site.wait_for(lambda: all(site.on_machines(name) for name in names), 8):
             raise RuntimeError("the arrays do not run")
+        await asyncio.sleep(2.5)  # each worker has reported its task
         name, lost = next((n, w) for n in names for _, w, _ in site.on_machines(n) if w in spot)
         if trouble:
             site.trouble(f"{lost.name}, one of four spot machines, is taken back without notice")
--- a/review/stand_ins_2/worker.py
+++ b/review/stand_ins_2/worker.py
@@ -297,6 +297,7 @@
                     if task.until is not None:
                         task.until += now - last
                 last = now
+                self._check_lease()  # a machine that hangs for longer than its lease has lost its tasks
                 continue
             self._check_lease()
             for task in list(self.tasks.values()):
