--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -542,7 +542,10 @@
         os._exit(code)
 
     async def run():
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)  # connections that end with the case
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)  # connections that end with the case
+        for number in (signal.SIGTERM, signal.SIGINT):  # whoever ends the script ends its controllers
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         try:
             broken = await asyncio.wait_for(case(folder, trouble), limit)
         except BaseException as error:  # whatever it is: the case could not run
