--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Machines that failed every task for a few seconds, and are well again, get no work any more."""
+"""A machine that failed every task for a few seconds, and is well again, gets no work any more."""
 import asyncio
 import os
 import sys
@@ -15,8 +15,8 @@
 
 async def case(folder, trouble):
     async with Site(folder, SAHKAR, capacity={}) as site:
-        # One machine with accelerators and one without in each zone; the cloud has no more.
-        netra = [await site.add_machine("netra", yard) for yard in SAHKAR["zones"]]
+        # One machine with accelerators, and one without in each zone; the cloud has no more.
+        netra = [await site.add_machine("netra", "navrangpura")]
         for yard in SAHKAR["zones"]:
             await site.add_machine("chhota", yard)
         await asyncio.sleep(2)
@@ -24,7 +24,7 @@
         if await site.submit(service) not in (200, 201):
             raise RuntimeError("the service was not accepted")
         if trouble:
-            site.trouble(f"{[w.name for w in netra]} fail every task that they start, for {SICK_S} s")
+            site.trouble(f"{netra[0].name} fails every task that it starts, for {SICK_S} s")
             for worker in netra:
                 worker.sick = True
         names = ["job-%06d" % number for number in range(2, 2 + JOBS)]
@@ -41,7 +41,7 @@
         for worker in netra:
             worker.sick = False
         if trouble:
-            site.trouble("the machines are well again")
+            site.trouble("the machine is well again")
         names.append("job-%06d" % (2 + JOBS))  # one more, that has never met a sick machine
         await submit(names[-1])
         well, starts = time.monotonic(), dict(site.checker.starts_seen)
@@ -65,7 +65,7 @@
             broken.append(f"controllers ended: {site.ended_by_itself()}")
         waiting = [n for n in names if not site.jobs[n].done_at and not site.on_machines(n)]
         if waiting and idle_since and time.monotonic() >= idle_since + WAIT_S:
-            text = (f"{waiting} wait for {time.monotonic() - idle_since:.0f} s while {[w.name for w in free]} are well and run nothing; "
+            text = (f"{waiting} wait for {time.monotonic() - idle_since:.0f} s while {[w.name for w in free]} is well and runs nothing; "
                     "each job needs 28 CPUs, 4 accelerators and 100 GB, a machine has 32, 4 and 128")
             site.record("RULE", text)
             broken.append(text)
