Review: case 6 gives 2, not 0, where the time was too short to judge

Cause: a run in which the job was queued, but not yet for 90 s, ended with 0 as if the rule had held.

Change: such a run ends with 2. The check and its bound are as before.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -59,6 +59,8 @@
                     "8 CPUs and 2 GB, any type is allowed, the machine has 32 and 128, and its team uses 24 CPUs of 272")
             site.record("RULE", text)
             broken.append(text)
+        elif not broken and not site.on_machines(name):
+            raise RuntimeError(f"{name} does not run, and the time was too short to see it wait for {WAIT_S:.0f} s")
         return broken
 
 
