--- a/src/cloud/lifecycle.rs
+++ b/src/cloud/lifecycle.rs
@@ -133,18 +133,19 @@
     }
 
     /// Removes a machine from its zone shard's record. The zone shard guards the commit
-    /// even if the machine is not in its record, because the shard's owner may be adding
-    /// the machine at the same time.
+    /// even if the machine is not in its record, or if it has no record yet, because the
+    /// shard's owner may be adding the machine at the same time.
     fn remove_from_zone_shard(&mut self, id: &str, zone_shard: String) {
-        let Some(entry) = self.replica.zone_shards.get(&zone_shard) else {
-            return;
-        };
+        let replica = self.replica;
         let edited = self
             .zone_shards
             .entry(zone_shard)
-            .or_insert_with(|| EditedZoneShard {
-                record: entry.value.clone(),
-                changed: false,
+            .or_insert_with_key(|zone_shard| {
+                let known = replica.zone_shards.get(zone_shard);
+                EditedZoneShard {
+                    record: known.map(|entry| entry.value.clone()).unwrap_or_default(),
+                    changed: false,
+                }
             });
         edited.changed |= edited.record.machines.remove(id).is_some();
     }
--- a/src/cloud/maintenance.rs
+++ b/src/cloud/maintenance.rs
@@ -11,6 +11,7 @@
 use super::inventory::reconcile_inventory;
 use super::removal::remove_machines;
 use super::scale_in::scale_in;
+use super::stale_slots::remove_stale_slots;
 use super::summary::log_fleet_summary;
 use super::unhealthy_machines::unhealthy_machines;
 use super::unneeded_machines::unneeded_machines;
@@ -43,6 +44,7 @@
 /// Runs one pass of the fleet leader over the fleet.
 async fn maintain_fleet(controller: &Rc<Controller>) {
     log_fleet_summary(controller);
+    remove_stale_slots(controller).await;
     scale_in(controller).await;
     collect_obsolete_records(controller).await;
     record_dependent_cancellations(controller).await;
--- a/src/cloud/mod.rs
+++ b/src/cloud/mod.rs
@@ -40,6 +40,7 @@
 mod scale_in;
 mod scale_out;
 mod scale_out_planner;
+mod stale_slots;
 mod stale_tokens;
 mod state_lease;
 mod summary;
--- a/src/cloud/record_deletions.rs
+++ b/src/cloud/record_deletions.rs
@@ -54,15 +54,16 @@
         }
     }
 
-    /// Adds the deletion of a machine's record if nothing is booked on the machine and the
-    /// commit has space for it.
+    /// Adds the deletion of a machine's record if nothing is booked on the machine, no zone
+    /// shard lists it and the commit has space for the deletion.
     fn add(&mut self, id: &str) {
-        // No booking can be added before the commit: the machine has been removed from its
-        // zone shard, and its machine shard guards the commit.
+        // No booking can be added before the commit: a booking needs a slot in a zone shard.
+        // Whoever adds a slot has the machine shard as a precondition, and this commit writes
+        // the machine shard.
         let Some(machine) = self.replica.machines.get(id).map(|entry| &entry.value) else {
             return;
         };
-        if self.replica.bookings.contains_key(id) {
+        if self.replica.bookings.contains_key(id) || self.replica.zone_shard_of(id).is_some() {
             return;
         }
         let request = find_request_of(self.replica, id);
--- a/src/scheduler/transaction/release.rs
+++ b/src/scheduler/transaction/release.rs
@@ -20,6 +20,14 @@
     Stale,
 }
 
+/// Period for which the evidence of a termination is valid.
+enum EvidenceValidity {
+    /// As long as the record of the machine shard with this id does not change.
+    WhileUnchanged(String),
+    /// The machine is gone for good, and its record has been deleted.
+    Forever,
+}
+
 impl Transaction<'_> {
     /// Releases a booking whose task is proven to have ended. `controller` and
     /// `incarnation` identify the process that has the evidence.
@@ -31,11 +39,11 @@
         controller: &str,
         incarnation: u64,
     ) -> ReleaseOutcome {
-        let machine_shard = self.evidence_shard(key, evidence, controller, incarnation);
-        let (Some(machine_shard), Some(spec)) = (machine_shard, self.booked_spec(key)) else {
+        let validity = self.evidence_validity(key, evidence, controller, incarnation);
+        let (Some(validity), Some(spec)) = (validity, self.booked_spec(key)) else {
             return ReleaseOutcome::Stale;
         };
-        if !self.can_release(key, &machine_shard) {
+        if !self.can_release(key, &validity) {
             return ReleaseOutcome::TransactionFull;
         }
         // The records of the team and of the zone shard are not written. Every controller
@@ -48,30 +56,37 @@
         let machine = self.released_by_machine.entry(key.machine.clone());
         *machine.or_default() += spec.need;
         *self.released_by_team.entry(spec.team).or_default() += spec.need;
-        self.guarded_machine_shards.insert(machine_shard);
+        if let EvidenceValidity::WhileUnchanged(machine_shard) = validity {
+            self.guarded_machine_shards.insert(machine_shard);
+        }
         ReleaseOutcome::Recorded
     }
 
-    /// Returns the machine shard whose record the evidence depends on, or `None` if the
-    /// evidence is no longer valid.
+    /// Returns for how long the evidence is valid, or `None` if it is no longer valid.
     ///
     /// Safety 3: the evidence is valid only while the machine is still owned by the claim
     /// under which the termination was proven, or once the machine is gone for good. The
     /// commit guards the record of the machine shard, and so fails if the claim has
     /// changed.
-    fn evidence_shard(
+    fn evidence_validity(
         &self,
         key: &AttemptKey,
         evidence: TerminationEvidence,
         controller: &str,
         incarnation: u64,
-    ) -> Option<String> {
-        let machine = &self.replica.machines.get(&key.machine)?.value;
+    ) -> Option<EvidenceValidity> {
+        let Some(entry) = self.replica.machines.get(&key.machine) else {
+            let booked_at = self.replica.job_version(&key.job);
+            let is_gone = self.replica.is_gone_without_record(&key.machine, booked_at);
+            return is_gone.then_some(EvidenceValidity::Forever);
+        };
+        let machine = &entry.value;
         let same_claim = machine.owner == controller
             && machine.incarnation == incarnation
             && machine.fencing_token == evidence.fencing_token;
         let proven = machine.lifecycle == MachineLifecycle::Gone || same_claim;
-        proven.then(|| shard_id(&machine.zone, &machine.shard))
+        let machine_shard = || shard_id(&machine.zone, &machine.shard);
+        proven.then(|| EvidenceValidity::WhileUnchanged(machine_shard()))
     }
 
     /// Returns the spec of the task's job if the task is still booked.
@@ -81,16 +96,20 @@
         job.spec.clone()
     }
 
-    /// Returns whether the commit has capacity for the job's record and the guard on the
-    /// machine shard.
-    fn can_release(&self, key: &AttemptKey, machine_shard: &str) -> bool {
+    /// Returns whether the commit has capacity for the job's record and for the guard, if there
+    /// is one.
+    fn can_release(&self, key: &AttemptKey, validity: &EvidenceValidity) -> bool {
         let job_alone = TouchedRecords {
             job: &key.job,
             team: None,
             zone_shards: &BTreeSet::new(),
             machines: 0,
         };
-        self.can_guard(machine_shard) && self.has_capacity_for(&job_alone)
+        let can_guard = match validity {
+            EvidenceValidity::WhileUnchanged(machine_shard) => self.can_guard(machine_shard),
+            EvidenceValidity::Forever => true,
+        };
+        can_guard && self.has_capacity_for(&job_alone)
     }
 
     /// Returns a task's resources to the share that its booking counts against.
--- a/src/state/keys.rs
+++ b/src/state/keys.rs
@@ -46,9 +46,12 @@
     format!("{PREFIX}zone/{id}")
 }
 
+/// Common prefix of the keys of all machine shards.
+pub const MACHINE_SHARD_PREFIX: &str = "sh/machine/";
+
 /// Returns the key of a machine shard's record, which has the same id as its zone shard.
 pub fn machine_shard_key(id: &str) -> String {
-    format!("{PREFIX}machine/{id}")
+    format!("{MACHINE_SHARD_PREFIX}{id}")
 }
 
 /// Returns the key of a running controller's record. The state service removes the record
--- a/src/state/replica/machine_shards.rs
+++ b/src/state/replica/machine_shards.rs
@@ -45,6 +45,8 @@
             return;
         }
         self.changes.machines.insert(name.to_string());
+        let number = self.machine_names.number(name);
+        self.lifecycles.insert(number, machine.lifecycle);
         let value = machine;
         self.machines
             .insert(name.to_string(), Versioned { version, value });
@@ -63,6 +65,7 @@
         }
         if let Some(number) = self.machine_names.find(&name) {
             self.images.remove(&number);
+            self.lifecycles.remove(&number);
         }
         self.machines.remove(&name);
         self.changes.machines.insert(name);
--- a/src/state/replica/mod.rs
+++ b/src/state/replica/mod.rs
@@ -12,11 +12,13 @@
 //! | `tables` | the update of one record in the table of its kind |
 //! | `local_writes` | this controller's writes that are newer than `revision` |
 //! | `jobs`, `accepted_batches`, `machine_shards`, `placeable_machines` | indexes that are derived from updated records |
+//! | `departed_machines` | machines that are named though they are not in service |
 //! | `unreadable` | records that cannot be read |
 //! | `queries`, `shares` | lookups in the replica |
 //! | `writes` | writes of records, in the encoding that all controllers can read |
 
 mod accepted_batches;
+mod departed_machines;
 mod jobs;
 mod local_writes;
 mod machine_shards;
@@ -28,6 +30,7 @@
 mod updates;
 mod writes;
 
+pub use departed_machines::StaleSlot;
 pub use placeable_machines::{MachineClass, PlaceableMachine};
 pub use shares::{MachineSums, fallback_controller};
 
@@ -42,8 +45,8 @@
 use crate::dependencies::DependencyGraph;
 use crate::state::names::NameTable;
 use crate::state::records::{
-    AcceptedBatch, Capacity, ControllerRecord, Formats, Job, JobSpec, Machine, MachineShard,
-    MachineTypesRecord, ProvisioningRequest, Resources, TeamUsage, ZoneShard,
+    AcceptedBatch, Capacity, ControllerRecord, Formats, Job, JobSpec, Machine, MachineLifecycle,
+    MachineShard, MachineTypesRecord, ProvisioningRequest, Resources, TeamUsage, ZoneShard,
 };
 
 /// Record with the revision of its last change.
@@ -91,6 +94,8 @@
     /// Machines of all machine shards, by id. The version of a machine is that of its shard
     /// when the machine last changed.
     pub machines: Table<Machine>,
+    /// Lifecycle states of the machines that have a record, by machine number.
+    lifecycles: HashMap<u32, MachineLifecycle>,
     /// Machine shards, by `zone/shard`.
     pub machine_shards: Table<MachineShard>,
     /// Provisioning requests, by id.
@@ -137,7 +142,7 @@
     pub classes: Vec<MachineClass>,
     /// Numbers of the classes of machines.
     class_numbers: HashMap<placeable_machines::ClassKey, u32>,
-    /// Machines of each zone shard on which tasks may be placed.
+    /// Machines that each zone shard lists. Tasks may be placed on those that are in service.
     placeable_machines: BTreeMap<String, Vec<PlaceableMachine>>,
     /// Number of the zone shard that lists a machine, by machine number.
     slot_shards: HashMap<u32, u32>,
--- a/src/state/replica/placeable_machines.rs
+++ b/src/state/replica/placeable_machines.rs
@@ -68,9 +68,12 @@
         self.types.value.types.get(class.type_index?)
     }
 
-    /// Returns the machines on which tasks may be placed.
+    /// Returns the machines on which tasks may be placed: those that a zone shard lists and
+    /// that are in service. A zone shard may list a machine that has left service if the
+    /// commit which listed it was decided by an earlier version of the software.
     pub fn placeable_machines(&self) -> impl Iterator<Item = &PlaceableMachine> {
-        self.placeable_machines.values().flatten()
+        let listed = self.placeable_machines.values().flatten();
+        listed.filter(|entry| self.is_in_service(entry.machine))
     }
 
     /// Returns the free capacity of a machine according to the bookings in this replica. A
--- a/src/workers/publication.rs
+++ b/src/workers/publication.rs
@@ -83,7 +83,11 @@
             .commit(class, preconditions_of(&changes), writes)
             .await
         {
-            Ok(_) => return,
+            Ok(revision) => {
+                let zone_shards: Vec<&String> = changes.iter().map(|c| &c.id).collect();
+                tracing::debug!(revision, ?zone_shards, "capacity published");
+                return;
+            }
             Err(StateClientError::Conflict(keys)) => {
                 // A booking has changed these zone shards; the other changes are retried.
                 tracing::debug!(?keys, "capacity publication conflict");
--- a/src/workers/termination.rs
+++ b/src/workers/termination.rs
@@ -137,18 +137,41 @@
     lost
 }
 
-/// Queues terminations for all bookings on machines that the cloud has confirmed as gone.
+/// Queues terminations for all bookings on machines that the cloud has confirmed as gone:
+/// those that are recorded as gone, and those whose record has been deleted since.
 pub fn queue_terminations_of_gone_machines(controller: &Controller) {
     let lost: Vec<Termination> = {
         let replica = controller.replica.borrow();
         let machines = replica.machines.iter();
         let gone = machines.filter(|(_, m)| m.value.lifecycle == MachineLifecycle::Gone);
-        gone.flat_map(|(id, _)| lost_bookings(&replica, id))
+        let recorded = gone.flat_map(|(id, _)| lost_bookings(&replica, id));
+        recorded
+            .chain(bookings_without_machine_record(controller, &replica))
             .collect()
     };
     controller.queue_terminations(lost);
 }
 
+/// Returns terminations for the bookings on machines that have no record, and logs those that
+/// are not queued yet.
+fn bookings_without_machine_record(controller: &Controller, replica: &Replica) -> Vec<Termination> {
+    let machines = replica.booked_machines_without_record();
+    let mut lost: Vec<Termination> = machines
+        .flat_map(|machine| lost_bookings(replica, machine))
+        .collect();
+    let pending = controller.workers.pending_terminations();
+    lost.retain(|termination| !pending.contains_key(&termination.key));
+    for Termination { key, .. } in &lost {
+        tracing::warn!(
+            job = key.job,
+            task = key.task,
+            machine = key.machine,
+            "booking on a machine without a record"
+        );
+    }
+    lost
+}
+
 /// Returns terminations with the outcome "lost" for all attempts booked on a machine.
 fn lost_bookings(replica: &Replica, machine: &str) -> Vec<Termination> {
     let mut lost = Vec::new();
--- a/src/workers/zone_shards.rs
+++ b/src/workers/zone_shards.rs
@@ -66,34 +66,37 @@
 
 impl ShardChooser<'_> {
     /// Chooses the zone shard for the slot of a machine that is in none yet, such that no
-    /// concurrent or delayed commit can list the machine in a second one:
+    /// concurrent or delayed commit can list the machine in a second one, or after it has left
+    /// service:
     ///
+    /// - Every choice has a precondition on the machine shard. Only the machine's owner adds the
+    ///   machine to a zone shard, while the machine is active. Each claim and each lifecycle
+    ///   change, and the deletion of the machine's record, change the machine shard.
     /// - The machine's own zone shard is chosen before compact encodings are in use, and
     ///   afterwards until that zone shard is stored in the compact encoding. Until then a
     ///   commit that was decided by an earlier version of the software may still arrive, and
     ///   its only precondition is the version of the machine's own zone shard.
     /// - After that, the machine's first candidate with capacity is chosen. The choice has
-    ///   preconditions on three kinds of records. The first is the machine shard: only the
-    ///   machine's owner adds the machine to a zone shard, and each claim changes the machine
-    ///   shard. The others are all candidates up to the chosen one, and the machine's own zone
-    ///   shard: an unanswered commit of this controller, which may be applied later, made its
-    ///   choice by these records. None of the records may be newer than the revision that the
-    ///   replica has reached, as a choice that another controller made since then would be
+    ///   further preconditions on all candidates up to the chosen one, and on the machine's own
+    ///   zone shard: an unanswered commit of this controller, which may be applied later, made
+    ///   its choice by these records. None of the records may be newer than the revision that
+    ///   the replica has reached, as a choice that another controller made since then would be
     ///   missing from the replica. `None` is returned in that case.
     pub(super) fn choose(&self, id: &str, machine: &Machine) -> Option<ShardChoice> {
         let own_shard = shard_id(&machine.zone, &machine.shard);
+        let machine_shard_precondition = (
+            machine_shard_key(&own_shard),
+            self.replica.machine_shard_version(&own_shard),
+        );
         if !self.replica.uses_compact_encoding() || !self.replica.is_compact_zone_shard(&own_shard)
         {
             return Some(ShardChoice {
                 shard: own_shard,
-                preconditions: PreconditionVersions::new(),
+                preconditions: PreconditionVersions::from([machine_shard_precondition]),
             });
         }
         let mut preconditions = PreconditionVersions::from([
-            (
-                machine_shard_key(&own_shard),
-                self.replica.machine_shard_version(&own_shard),
-            ),
+            machine_shard_precondition,
             (
                 zone_shard_key(&own_shard),
                 self.replica.zone_shard_version(&own_shard),
--- a/tests/decisions/scheduling.rs
+++ b/tests/decisions/scheduling.rs
@@ -7,12 +7,12 @@
 use tokio::time::Instant;
 
 use super::setup::{
-    job_spec, may_preempt, placement_hints, replica_with_machine_types, replica_with_machines,
-    settings, settings_json,
+    active_machine, job_spec, may_preempt, placement_hints, replica_with_machine_types,
+    replica_with_machines, settings, settings_json,
 };
 use shelfhoist::scheduler::{self, AcceleratorProtection, Plan, Transaction, WaitReason};
 use shelfhoist::settings::Settings;
-use shelfhoist::state::keys::{job_key, shard_id, zone_shard_key};
+use shelfhoist::state::keys::{job_key, machine_shard_key, shard_id, zone_shard_key};
 use shelfhoist::state::replica::Replica;
 
 use shelfhoist::state::records::*;
@@ -187,10 +187,16 @@
         for n in 0..9 {
             let slot = json!({"t": "small", "f": {"c": 4000, "g": 0, "m": 16_000_000}});
             let shard = json!({"m": {format!("m{n}"): slot}});
-            replica.apply_events(
-                vec![Event::put(zone_shard_key(&format!("a/n0.{n}")), &shard, 3)],
-                3,
-            );
+            let machines = [(format!("m{n}"), active_machine("small", "a"))];
+            let machine_shard = MachineShard {
+                machines: machines.into(),
+            };
+            let id = format!("a/n0.{n}");
+            let events = vec![
+                Event::put(machine_shard_key(&id), &machine_shard, 3),
+                Event::put(zone_shard_key(&id), &shard, 3),
+            ];
+            replica.apply_events(events, 3);
         }
         let mut spec = job_spec(kind, 9, 4.0);
         spec.need.ram = Amount(0);
--- a/tests/decisions/setup.rs
+++ b/tests/decisions/setup.rs
@@ -88,6 +88,7 @@
 pub fn replica_with_machines(machines: &[(&str, &str, f64)]) -> Replica {
     let mut replica = replica_with_machine_types();
     let mut zone_shards: BTreeMap<&str, ZoneShard> = BTreeMap::new();
+    let mut machine_shards: BTreeMap<&str, MachineShard> = BTreeMap::new();
     for (zone, machine, cpus) in machines {
         let kind = format!("of-{cpus}");
         if replica.machine_type(&kind).is_none() {
@@ -97,6 +98,9 @@
                 .types
                 .push(machine_type(&kind, *cpus, 0.0));
         }
+        let machine_shard = machine_shards.entry(zone).or_default();
+        let record = active_machine(&kind, zone);
+        machine_shard.machines.insert(machine.to_string(), record);
         let slot = MachineSlot {
             kind,
             spot: false,
@@ -106,14 +110,26 @@
         let shard = zone_shards.entry(zone).or_default();
         shard.machines.insert(machine.to_string(), slot);
     }
-    let key = |zone| zone_shard_key(&shard_id(zone, "n0.0"));
-    let events = zone_shards
+    let id = |zone| shard_id(zone, "n0.0");
+    let machine_events = machine_shards
         .iter()
-        .map(|(zone, shard)| Event::put(key(zone), shard, 3));
-    replica.apply_events(events.collect(), 3);
+        .map(|(zone, shard)| Event::put(machine_shard_key(&id(zone)), shard, 3));
+    let zone_events = zone_shards
+        .iter()
+        .map(|(zone, shard)| Event::put(zone_shard_key(&id(zone)), shard, 3));
+    replica.apply_events(machine_events.chain(zone_events).collect(), 3);
     replica
 }
 
+/// Returns the record of a machine in service.
+pub fn active_machine(kind: &str, zone: &str) -> Machine {
+    Machine {
+        owner: "n0".into(),
+        lifecycle: MachineLifecycle::Active,
+        ..Machine::new(kind, zone)
+    }
+}
+
 pub fn placement_hints(replica: &Replica) -> PlacementHints<'_> {
     PlacementHints::new(replica, "n0")
 }
--- a/tests/decisions/shards.rs
+++ b/tests/decisions/shards.rs
@@ -14,7 +14,7 @@
 use shelfhoist::state::replica::Replica;
 use shelfhoist::wire::{Commit, Event, Precondition, Write};
 
-use super::setup::settings;
+use super::setup::{active_machine, settings};
 
 proptest! {
     /// No shard is in two groups, no group exceeds its maximum size, and machines of one
@@ -233,12 +233,20 @@
         free: Resources::default(),
         unbooked: Resources::default(),
     };
-    let machines = (0..700).map(|n| (format!("host-{n:06}"), slot.clone()));
+    let names = || (0..700).map(|n| format!("host-{n:06}"));
     let shard = ZoneShard {
-        machines: machines.collect(),
+        machines: names().map(|name| (name, slot.clone())).collect(),
+    };
+    let machine = active_machine("big", "a");
+    let machine_shard = MachineShard {
+        machines: names().map(|name| (name, machine.clone())).collect(),
     };
     let formats = json!({"n": {}, "a": FORMATS});
-    replica.apply_events(vec![Event::put(FORMATS_KEY.into(), &formats, 1)], 1);
+    let events = vec![
+        Event::put(FORMATS_KEY.into(), &formats, 1),
+        Event::put(machine_shard_key("a/n0.0"), &machine_shard, 1),
+    ];
+    replica.apply_events(events, 1);
     let write = replica.put_zone_shard("a/n0.0", &shard);
     replica.apply_commit(&[write], 2);
     let left = Default::default();
--- a/tests/decisions/workers.rs
+++ b/tests/decisions/workers.rs
@@ -360,6 +360,81 @@
     }
 }
 
+/// Guards against jobs that never run (review/4): a booking on a machine whose record has been
+/// deleted was never released. It is released only if the replica proves that the machine is
+/// gone.
+#[test]
+fn booking_on_a_machine_without_a_record_is_released() {
+    let cases: [(&str, bool, bool, bool, ReleaseOutcome); 4] = [
+        (
+            "the record exists",
+            false,
+            false,
+            false,
+            ReleaseOutcome::Stale,
+        ),
+        (
+            "the record is deleted",
+            true,
+            false,
+            false,
+            ReleaseOutcome::Recorded,
+        ),
+        (
+            "the booking is ahead of the replica",
+            true,
+            true,
+            false,
+            ReleaseOutcome::Stale,
+        ),
+        (
+            "a machine shard is unreadable",
+            true,
+            false,
+            true,
+            ReleaseOutcome::Stale,
+        ),
+    ];
+    for (name, is_deleted, is_ahead, is_unreadable, expected) in cases {
+        let mut replica = replica_with_booking(JobKind::Array, |_| {});
+        let mut events = Vec::new();
+        if is_deleted {
+            let machine_shard = json!({"m": {}});
+            events.push(Event::put(machine_shard_key("a/n0.0"), &machine_shard, 11));
+        }
+        if is_unreadable {
+            events.push(Event::put(
+                machine_shard_key("b/n1.0"),
+                &json!({"m": 7}),
+                11,
+            ));
+        }
+        replica.apply_events(events, 11);
+        if is_ahead {
+            let write = replica.put_job("job-1", &replica.jobs["job-1"].value.clone());
+            replica.apply_commit(&[write], 12);
+        }
+        let key = AttemptKey {
+            job: "job-1".into(),
+            machine: "m".into(),
+            attempt: 1,
+            task: 0,
+        };
+        let evidence = TerminationEvidence {
+            outcome: TaskOutcome::Lost,
+            fencing_token: 0,
+        };
+        let mut transaction = Transaction::new(&replica, 12);
+        let outcome = transaction.release(&key, evidence, "n1", 2);
+        assert_eq!(outcome, expected, "{name}");
+        assert_eq!(
+            replica.booked_machines_without_record().count(),
+            usize::from(is_deleted && !is_unreadable),
+            "{name}"
+        );
+    }
+}
+
 #[test]
 fn silent_lease_expires_only_for_its_continuous_owner() {
     let lease = Duration::from_secs(10);
--- a/tests/limits/shards.rs
+++ b/tests/limits/shards.rs
@@ -10,7 +10,7 @@
     self, AcceleratorProtection, MachineShardEdits, PlacementHints, Plan, Transaction, WaitReason,
 };
 use shelfhoist::state::encoding;
-use shelfhoist::state::keys::{FORMATS_KEY, TYPES_KEY, job_key, zone_shard_key};
+use shelfhoist::state::keys::{FORMATS_KEY, TYPES_KEY, job_key, machine_shard_key, zone_shard_key};
 use shelfhoist::state::replica::Replica;
 use shelfhoist::wire::{Commit, Event, JobKind, Write};
 
@@ -173,16 +173,24 @@
     let mut number = 0;
     for (id, machines) in [("a/n0.0", 3), ("a/n1.0", 3), ("b/n2.0", 5), ("b/n3.0", 2)] {
         let mut shard = ZoneShard::default();
+        let mut machine_shard = MachineShard::default();
         for _ in 0..machines {
             number += 1;
+            let machine = Machine {
+                lifecycle: MachineLifecycle::Active,
+                ..Machine::new("big", "a")
+            };
+            let name = format!("host-{number:06}");
+            machine_shard.machines.insert(name.clone(), machine);
             let slot = MachineSlot {
                 kind: "big".into(),
                 spot: false,
                 free: Resources::default(),
                 unbooked: Resources::default(),
             };
-            shard.machines.insert(format!("host-{number:06}"), slot);
+            shard.machines.insert(name, slot);
         }
+        events.push(Event::put(machine_shard_key(id), &machine_shard, 2));
         events.push(Event::put(zone_shard_key(id), &shard, 2));
     }
     let mut gang = job_spec(JobKind::Gang, 8);
--- a/tests/rule_checker/derived_rules.rs
+++ b/tests/rule_checker/derived_rules.rs
@@ -71,11 +71,27 @@
             name: "a machine in two zone shards",
             rule: Rule::Misplaced,
             setup: || {
-                after_unrelated_start(vec![WriteRecord("sh/zone/a", zone_shard_of("host-000000"))])
+                after_unrelated_start(vec![
+                    WriteRecord("sh/machine/a", machine_shard_of("host-000000")),
+                    WriteRecord("sh/machine/b", machine_shard_of("host-000001")),
+                    WriteRecord("sh/zone/a", zone_shard_of("host-000000")),
+                ])
             },
             compliant: || vec![WriteRecord("sh/zone/b", zone_shard_of("host-000001"))],
             violation: || vec![WriteRecord("sh/zone/b", zone_shard_of("host-000000"))],
         },
+        Case {
+            name: "a machine without a record in a zone shard",
+            rule: Rule::ListedOutOfService,
+            setup: || {
+                after_unrelated_start(vec![WriteRecord(
+                    "sh/machine/a",
+                    machine_shard_of("host-000000"),
+                )])
+            },
+            compliant: || vec![WriteRecord("sh/zone/a", zone_shard_of("host-000000"))],
+            violation: || vec![WriteRecord("sh/zone/a", zone_shard_of("host-000001"))],
+        },
         Case {
             name: "a heartbeat over 64 KiB",
             rule: Rule::MessageSize,
--- a/tests/service/main.rs
+++ b/tests/service/main.rs
@@ -5,6 +5,7 @@
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
 
+mod departed_machines;
 mod full_reads;
 mod heartbeats;
 mod jobs;
--- a/tests/stand_ins/rules.rs
+++ b/tests/stand_ins/rules.rs
@@ -43,6 +43,8 @@
     Orphaned,
     /// A machine was in two zone shards or in two machine shards of the stored records.
     Misplaced,
+    /// A commit listed a machine in a zone shard that was not in service.
+    ListedOutOfService,
     /// A message exceeded the size limit of the protocol.
     MessageSize,
     /// A copy of a direct call that had been executed and answered started a task.
@@ -51,7 +53,7 @@
 
 impl Rule {
     /// All rules that the checker checks.
-    pub const ALL: [Rule; 15] = [
+    pub const ALL: [Rule; 16] = [
         Rule::RanTwice,
         Rule::Quota,
         Rule::WrongPlace,
@@ -65,6 +67,7 @@
         Rule::TooEarly,
         Rule::Orphaned,
         Rule::Misplaced,
+        Rule::ListedOutOfService,
         Rule::MessageSize,
         Rule::StartedByCopy,
     ];
@@ -85,6 +88,7 @@
             Rule::TooEarly => "too_early",
             Rule::Orphaned => "orphaned",
             Rule::Misplaced => "misplaced",
+            Rule::ListedOutOfService => "listed_out_of_service",
             Rule::MessageSize => "message_size",
             Rule::StartedByCopy => "started_by_copy",
         }
@@ -218,6 +222,9 @@
         for place in self.state.misplaced_machines.borrow().iter() {
             all.push(format!("{}: {place}", Rule::Misplaced.name()));
         }
+        for listing in self.state.listed_out_of_service.borrow().iter() {
+            all.push(format!("{}: {listing}", Rule::ListedOutOfService.name()));
+        }
         for message in self.frames.oversized.borrow().iter() {
             all.push(format!("{}: {message}", Rule::MessageSize.name()));
         }
--- a/tests/stand_ins/state_service/commits.rs
+++ b/tests/stand_ins/state_service/commits.rs
@@ -63,16 +63,9 @@
         };
         if self.draw_bool(late) {
             let delay_s = self.rng.borrow_mut().random_range(2.0..12.0);
-            let state = self.clone();
-            // The commit is applied after the controller has stopped waiting for its response.
-            spawn_local(async move {
-                sleep(Duration::from_secs_f64(delay_s)).await;
-                while state.is_in_outage() {
-                    sleep(Duration::from_millis(100)).await;
-                }
-                state.apply(&body);
-            });
-            return std::future::pending().await;
+            return self
+                .apply_late(Duration::from_secs_f64(delay_s), body)
+                .await;
         }
         if self.draw_bool(unanswered) {
             self.apply(&body);
@@ -81,6 +74,20 @@
         self.apply(&body)
     }
 
+    /// Applies a commit after a delay, and never responds. The commit is also applied if the
+    /// controller has stopped waiting for the response.
+    pub(super) async fn apply_late(self: &Rc<Self>, delay: Duration, body: Value) -> Response {
+        let state = self.clone();
+        spawn_local(async move {
+            sleep(delay).await;
+            while state.is_in_outage() {
+                sleep(Duration::from_millis(100)).await;
+            }
+            state.apply(&body);
+        });
+        std::future::pending().await
+    }
+
     /// Applies a transaction and returns the response. Nothing is applied if the transaction
     /// exceeds a limit, names a lease that does not exist, or fails a precondition.
     pub(super) fn apply(&self, body: &Value) -> Response {
--- a/tests/stand_ins/state_service/mod.rs
+++ b/tests/stand_ins/state_service/mod.rs
@@ -11,6 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -63,6 +64,11 @@
     /// Descriptions of machines that were in two zone shards or in two machine shards at some
     /// revision.
     pub misplaced_machines: RefCell<Vec<String>>,
+    /// Machines that zone shards list, as of the last write of a zone shard.
+    listed_machines: RefCell<BTreeSet<String>>,
+    /// Descriptions of machines that a commit listed in a zone shard although they were not in
+    /// service.
+    pub listed_out_of_service: RefCell<Vec<String>>,
     /// Indexes of the controllers that stand for the production version, which neither announces
     /// the record formats that it reads nor stores the announced formats in `sh/formats`. The
     /// announcements are removed from the commits of these controllers, and a commit that
@@ -72,6 +78,8 @@
     pub conflict_count: Cell<usize>,
     /// Predicate that selects commits to refuse with status 503.
     pub commit_refusal: RefCell<Option<CommitRefusal>>,
+    /// Function that selects commits to be applied late and without a response.
+    pub commit_delay: RefCell<Option<CommitDelay>>,
     /// Callbacks that are called after every applied commit.
     pub observers: RefCell<Vec<CommitObserver>>,
     /// Records that tests wrote directly. Only these records may be unreadable: one that a
@@ -82,6 +90,10 @@
 /// Predicate on a controller's index and its commit, true if the commit is refused.
 pub type CommitRefusal = Box<dyn Fn(usize, &Value) -> bool>;
 
+/// Function of a controller's index and its commit: the time after which the commit is applied,
+/// if it is to be applied late.
+pub type CommitDelay = Box<dyn Fn(usize, &Value) -> Option<Duration>>;
+
 /// Callback for an applied commit. Its arguments are all records after the commit, the written
 /// keys and the revision.
 pub type CommitObserver = Box<dyn Fn(&BTreeMap<String, (Value, u64)>, &[&str], u64)>;
@@ -117,9 +129,12 @@
             writes: RateLimit::default(),
             requests: RateLimit::default(),
             misplaced_machines: RefCell::default(),
+            listed_machines: RefCell::default(),
+            listed_out_of_service: RefCell::default(),
             previous_version_controllers: RefCell::default(),
             conflict_count: Cell::default(),
             commit_refusal: RefCell::default(),
+            commit_delay: RefCell::default(),
             observers: RefCell::default(),
             test_writes: RefCell::default(),
         }
@@ -178,6 +193,12 @@
                 ("GET", "/watch") => self.watch(i, &request.query).await,
                 ("GET", path) => self.read(path.trim_start_matches("/store/")),
                 ("POST", "/commit") if self.is_commit_refused(i, &body) => Response::empty(503),
+                ("POST", "/commit") if self.commit_delay.borrow().is_some() => {
+                    match self.delay_of_commit(i, &body) {
+                        Some(delay) => self.apply_late(delay, body).await,
+                        None => self.commit(body).await,
+                    }
+                }
                 ("POST", "/commit") if self.previous_version_controllers.borrow().contains(&i) => {
                     self.commit_as_production(body).await
                 }
@@ -198,6 +219,13 @@
         predicate.as_ref().is_some_and(|refuses| refuses(i, body))
     }
 
+    /// Returns the time after which the test's function has a commit of controller `i` applied,
+    /// if the commit is to be applied late.
+    fn delay_of_commit(&self, i: usize, body: &Value) -> Option<Duration> {
+        let delay = self.commit_delay.borrow();
+        delay.as_ref().and_then(|delay_of| delay_of(i, body))
+    }
+
     /// Serves `GET /store/{key}`.
     fn read(&self, key: &str) -> Response {
         match self.pairs.borrow().get(key) {
