--- a/src/cloud/unhealthy_machines.rs
+++ b/src/cloud/unhealthy_machines.rs
@@ -144,11 +144,13 @@
         if self.is_unreachable(owned_worker) {
             return Some(MachineRemoval::decommission(id, RemovalReason::Unreachable));
         }
-        let is_active = machine.lifecycle == MachineLifecycle::Active;
-        let is_faulty = is_active
-            && machine_health(self.controller, self.replica, id, owned_worker)
+        let is_removable = machine.lifecycle == MachineLifecycle::Active
+            && !self.replica.bookings.contains_key(id);
+        let is_faulty = is_removable
+            && machine_health(self.controller, self.replica, id, owned_worker, self.now)
                 == MachineHealth::Faulty;
-        is_faulty.then(|| MachineRemoval::drain(id, RemovalReason::Faulty))
+        // A faulty machine with work is quarantined until that has ended.
+        is_faulty.then(|| MachineRemoval::decommission(id, RemovalReason::Faulty))
     }
 
     /// Returns the time for which a machine may be silent before it is decommissioned.
--- a/src/settings/derived.rs
+++ b/src/settings/derived.rs
@@ -25,6 +25,14 @@
 /// `gang_wait_s`.
 const GANG_WAITS_UNTIL_STARVATION: f64 = 3.0;
 
+/// Maximum time for which a job may wait beside a machine that fits it and has room. The
+/// platform specifies this bound.
+const MAX_WAIT_BESIDE_CAPACITY: Duration = Duration::from_secs(90);
+
+/// Fraction of [`MAX_WAIT_BESIDE_CAPACITY`] for which a job may be kept off such a machine. The
+/// rest is for proving that an earlier attempt has ended, and for placing and starting the job.
+const EXCLUSION_FRACTION: f64 = 0.5;
+
 const BYTES_PER_KIB: f64 = 1024.0;
 const BYTES_PER_MIB: f64 = BYTES_PER_KIB * 1024.0;
 
@@ -139,6 +147,12 @@
         self.deployment.workers.gang_wait_s * GANG_WAITS_UNTIL_STARVATION
     }
 
+    /// Returns the maximum time for which a job is kept off a machine that fits it and has room:
+    /// because tasks have failed, or because other jobs may need the machine more.
+    pub fn exclusion_limit(&self) -> Duration {
+        MAX_WAIT_BESIDE_CAPACITY.mul_f64(EXCLUSION_FRACTION)
+    }
+
     /// Returns the time for which a worker keeps its tasks running after an answered
     /// heartbeat.
     pub fn worker_lease(&self) -> Duration {
--- a/src/workers/capacity_plan.rs
+++ b/src/workers/capacity_plan.rs
@@ -37,8 +37,8 @@
 }
 
 /// Returns the changes that bring the zone shards up to date with the machines that this
-/// controller owns, as many as fit into one commit. Except to add a machine, a zone shard
-/// in `recently_published` is not changed.
+/// controller owns, as many as fit into one commit. Except to add a machine, or to remove one
+/// on which jobs fail, a zone shard in `recently_published` is not changed.
 pub(super) fn plan_capacity_changes(
     controller: &Controller,
     recently_published: &PublicationTimes,
@@ -46,7 +46,7 @@
     let now = controller.now_excluding_pauses();
     let replica = controller.replica.borrow();
     let owned_workers = controller.workers.owned();
-    let quarantined = crate::cloud::quarantined_machines(controller, &replica, &owned_workers);
+    let quarantined = crate::cloud::quarantined_machines(controller, &replica, &owned_workers, now);
     let mut planner = CapacityPlanner::new(&controller.settings, &replica, quarantined, now);
     for (id, owned_worker) in owned_workers.iter() {
         let Some(machine) = replica.machines.get(id).map(|e| &e.value) else {
@@ -59,8 +59,26 @@
         }
         match planner.desired_slot(id, owned_worker, machine) {
             DesiredSlot::Unknown => {}
-            DesiredSlot::Absent => planner.plan(id, machine, None, recently_published),
-            DesiredSlot::Present(slot) => planner.plan(id, machine, Some(slot), recently_published),
+            DesiredSlot::Absent(reason) => {
+                let is_urgent = reason == AbsenceReason::Quarantined;
+                if planner.plan(id, machine, None, is_urgent, recently_published) {
+                    tracing::info!(machine = id, ?reason, "machine takes no new work");
+                }
+            }
+            DesiredSlot::Present(slot) => {
+                let is_new = replica.slot(id).is_none();
+                let failed_jobs = owned_worker.failures.jobs().len();
+                if planner.plan(id, machine, Some(slot), is_new, recently_published)
+                    && is_new
+                    && failed_jobs > 0
+                {
+                    tracing::info!(
+                        machine = id,
+                        failed_jobs,
+                        "machine takes work after failures"
+                    );
+                }
+            }
         }
     }
     planner.into_changes()
@@ -72,11 +90,24 @@
     /// unchanged.
     Unknown,
     /// The machine takes no new work and must not be listed.
-    Absent,
+    Absent(AbsenceReason),
     /// The machine takes new work and must be listed with this entry.
     Present(MachineSlot),
 }
 
+/// The reason why a machine takes no new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AbsenceReason {
+    /// The machine is being drained or returned.
+    NotActive,
+    /// The worker has sent no heartbeat for most of a lease, or has not answered the claim.
+    Silent,
+    /// Several jobs failed on the machine lately.
+    Quarantined,
+    /// Answers and commands do not reach the worker.
+    Unreachable,
+}
+
 /// A planner of one commit of zone shard changes.
 struct CapacityPlanner<'a> {
     settings: &'a Settings,
@@ -126,11 +157,8 @@
     }
 
     fn desired_slot(&self, id: &str, owned_worker: &OwnedWorker, machine: &Machine) -> DesiredSlot {
-        if machine.lifecycle != MachineLifecycle::Active
-            || self.is_silent_or_quarantined(id, owned_worker)
-            || owned_worker.unreachable_since.is_some()
-        {
-            return DesiredSlot::Absent;
+        if let Some(reason) = self.absence_reason(id, owned_worker, machine) {
+            return DesiredSlot::Absent(reason);
         }
         let machine_type = self.replica.machine_type(&machine.kind);
         let (Some(status), Some(machine_type)) = (&owned_worker.status, machine_type) else {
@@ -145,15 +173,35 @@
         })
     }
 
-    /// Returns whether a machine takes no new work because its worker has sent no heartbeat
-    /// for most of a lease, or because the machine is suspected of making tasks fail.
-    fn is_silent_or_quarantined(&self, id: &str, owned_worker: &OwnedWorker) -> bool {
+    /// Returns the reason why a machine takes no new work, or `None` if it does.
+    fn absence_reason(
+        &self,
+        id: &str,
+        owned_worker: &OwnedWorker,
+        machine: &Machine,
+    ) -> Option<AbsenceReason> {
+        if machine.lifecycle != MachineLifecycle::Active {
+            return Some(AbsenceReason::NotActive);
+        }
+        if self.is_silent(owned_worker) {
+            return Some(AbsenceReason::Silent);
+        }
+        if self.quarantined.contains(id) {
+            return Some(AbsenceReason::Quarantined);
+        }
+        owned_worker
+            .unreachable_since
+            .map(|_| AbsenceReason::Unreachable)
+    }
+
+    /// Returns whether the worker has sent no heartbeat for most of a lease, or no status since
+    /// the claim although it had time for one.
+    fn is_silent(&self, owned_worker: &OwnedWorker) -> bool {
         let since = |at: Instant| self.now.saturating_duration_since(at);
         let has_not_answered = owned_worker.status.is_none()
             && since(owned_worker.claimed_at) > self.settings.heartbeat_interval() * 2;
         let silence_limit = self.settings.worker_lease().mul_f64(SILENCE_LIMIT_LEASES);
-        let is_silent = since(owned_worker.last_heartbeat_at) > silence_limit;
-        has_not_answered || is_silent || self.quarantined.contains(id)
+        has_not_answered || since(owned_worker.last_heartbeat_at) > silence_limit
     }
 
     /// Returns the resources of running tasks that have no booking on the machine. These
@@ -177,14 +225,16 @@
     }
 
     /// Adds, updates or removes the machine's slot in its zone shard's record if the record
-    /// differs and the commit has capacity for the change.
+    /// differs and the commit has capacity for the change. A change that is not urgent waits if
+    /// the record was published recently. Returns whether the change was planned.
     fn plan(
         &mut self,
         id: &str,
         machine: &Machine,
         slot: Option<MachineSlot>,
+        is_urgent: bool,
         recently_published: &PublicationTimes,
-    ) {
+    ) -> bool {
         let known_slot = self.replica.slot(id);
         // A change of free capacity alone needs no write: every controller derives it from
         // the bookings.
@@ -194,20 +244,18 @@
             _ => false,
         };
         if is_current {
-            return;
+            return false;
         }
         let Some(shard) = self.zone_shard_of(id, machine) else {
-            return;
+            return false;
         };
-        // A recently published record waits for the publication interval, unless a machine
-        // is to be added to it.
-        let is_added = known_slot.is_none();
         let is_full = self.edits.len() == self.max_shards && !self.edits.contains_key(&shard);
-        if is_full || (recently_published.contains_key(&shard) && !is_added) {
-            return;
+        if is_full || (recently_published.contains_key(&shard) && !is_urgent) {
+            return false;
         }
         let changes_members = known_slot.is_some() != slot.is_some();
         self.edit(shard, id, slot, changes_members);
+        true
     }
 
     /// Returns the zone shard that lists the machine. If none does, chooses a zone shard;
--- a/src/workers/owned_worker.rs
+++ b/src/workers/owned_worker.rs
@@ -4,11 +4,12 @@
 //! the machine. The state is kept in memory only and starts with the claim. A status of the
 //! worker is evidence only for the claim whose fencing tokens contain that of the status.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use super::failure_record::FailureRecord;
 use super::fencing::Fencing;
 use super::token_range::TokenRange;
 use crate::controller::shifted_past_pause;
@@ -97,8 +98,8 @@
     pub launched_attempts: HashSet<TaskAttempt>,
     /// Last stop command of each attempt.
     pub stop_commands: HashMap<TaskAttempt, StopCommand>,
-    /// Jobs whose tasks have failed on the machine since a task last succeeded there.
-    pub failed_jobs: BTreeSet<String>,
+    /// Failures of tasks on the machine.
+    pub failures: FailureRecord,
     /// Earliest time of the next direct call.
     pub next_call_at: Instant,
     /// Newest heartbeat, with any fencing token. A worker has at most one heartbeat in
@@ -135,7 +136,7 @@
             launches_offered_on: None,
             launched_attempts: HashSet::new(),
             stop_commands: HashMap::new(),
-            failed_jobs: BTreeSet::new(),
+            failures: FailureRecord::default(),
             next_call_at: now,
             newest_heartbeat: HeartbeatId::default(),
             epoch: None,
@@ -147,7 +148,7 @@
     /// Copies the state that does not depend on the fencing token from the state under the
     /// previous claim.
     pub fn inherit_from(&mut self, earlier: &OwnedWorker) {
-        self.failed_jobs.clone_from(&earlier.failed_jobs);
+        self.failures.clone_from(&earlier.failures);
         self.newest_heartbeat = earlier.newest_heartbeat;
         self.last_heartbeat_at = earlier.last_heartbeat_at;
         self.epoch = earlier.epoch;
--- a/src/workers/termination.rs
+++ b/src/workers/termination.rs
@@ -72,7 +72,7 @@
             return;
         }
         if let Some(owned_worker) = owned_worker {
-            record_failure(owned_worker, &key.job, outcome);
+            record_outcome(owned_worker, &key.job, outcome);
         }
         tracing::debug!(
             job = key.job,
@@ -91,12 +91,11 @@
     }
 }
 
-/// Adds the job of a failed task to the failed jobs of the machine, or clears these after a
-/// success.
-fn record_failure(owned_worker: &mut OwnedWorker, job: &str, outcome: TaskOutcome) {
+/// Records on the worker that a task of a job has failed or succeeded there.
+fn record_outcome(owned_worker: &mut OwnedWorker, job: &str, outcome: TaskOutcome) {
     match outcome {
-        TaskOutcome::Failed => _ = owned_worker.failed_jobs.insert(job.to_string()),
-        TaskOutcome::Done => owned_worker.failed_jobs.clear(),
+        TaskOutcome::Failed => owned_worker.failures.record_failure(job, Instant::now()),
+        TaskOutcome::Done => owned_worker.failures.record_success(),
         TaskOutcome::Lost => {}
     }
 }
--- a/tests/fleet/deployments.rs
+++ b/tests/fleet/deployments.rs
@@ -21,6 +21,7 @@
         machines: 1905,
         ready_s: 3600.0,
         boot_s: 4.0,
+        has_accelerators: false,
         shares: false,
         uses_loopback_sockets: false,
     }
@@ -43,6 +44,7 @@
         machines: 1295,
         ready_s: 3600.0,
         boot_s: 4.0,
+        has_accelerators: false,
         shares: false,
         uses_loopback_sockets: false,
     }
--- a/tests/service/main.rs
+++ b/tests/service/main.rs
@@ -12,3 +12,4 @@
 mod machines;
 mod partitions;
 mod state_service;
+mod waiting_jobs;
--- a/tests/stand_ins/cloud.rs
+++ b/tests/stand_ins/cloud.rs
@@ -83,15 +83,23 @@
             }
             match (request.method.as_str(), request.path.as_str()) {
                 ("GET", "/flavors") => {
-                    let machine_type = |name: &str, vcpus: f64| {
-                        json!({"label": name, "vcpus": vcpus, "cards": 0.0, "ram_gb": 16.0,
-                            "local_gb": 50.0, "pull_gb_per_s": 1.0, "hourly": vcpus / 10.0,
-                            "spot_price": vcpus / 30.0, "ready_s": self.shape.ready_s, "yards": self.shape.zones})
+                    let machine_type = |name: &str, vcpus: f64, cards: f64| {
+                        json!({"label": name, "vcpus": vcpus, "cards": cards, "ram_gb": 16.0,
+                            "local_gb": 50.0, "pull_gb_per_s": 1.0, "hourly": vcpus / 10.0 + cards,
+                            "spot_price": vcpus / 30.0 + cards / 3.0, "ready_s": self.shape.ready_s,
+                            "yards": self.shape.zones})
                     };
-                    Response::json(
-                        200,
-                        &json!({"grades": [machine_type("small", 4.0), machine_type("big", 8.0)]}),
-                    )
+                    let mut types = vec![
+                        machine_type("small", 4.0, 0.0),
+                        machine_type("big", 8.0, 0.0),
+                    ];
+                    if self.shape.has_accelerators {
+                        types.push(machine_type("gpu", 8.0, 2.0));
+                    }
+                    Response::json(200, &json!({"grades": types}))
+                }
+                ("POST", "/rentals") if self.is_out_of_capacity.get() => {
+                    Response::json(503, &json!({"error": "no capacity"}))
                 }
                 ("POST", "/rentals") => {
                     let hire = body["hire"].as_str().unwrap_or("").to_string();
--- a/tests/stand_ins/scenario.rs
+++ b/tests/stand_ins/scenario.rs
@@ -85,6 +85,8 @@
     pub ready_s: f64,
     /// Time in seconds between a machine's rental and its worker's first heartbeat.
     pub boot_s: f64,
+    /// Flag that makes the cloud offer machines of type `gpu`, which have two accelerators.
+    pub has_accelerators: bool,
     /// Value of the controllers' feature flag `shares`.
     pub shares: bool,
     /// Flag that makes all parts communicate over the operating system's sockets, in real
@@ -111,6 +113,7 @@
             machines: 0,
             ready_s: 4.0,
             boot_s: 4.0,
+            has_accelerators: false,
             shares: false,
             uses_loopback_sockets: false,
         }
@@ -206,6 +209,8 @@
     pub shape: DeploymentOptions,
     /// Number of machines that have ever been rented.
     pub rented_machine_count: Cell<usize>,
+    /// Fault: the cloud has no machines to rent.
+    pub is_out_of_capacity: Cell<bool>,
     /// Zone in which the workers of newly rented machines never start.
     pub failed_boot_zone: Cell<Option<&'static str>>,
     /// Number of task starts.
@@ -310,6 +315,7 @@
             heartbeat_copies: RefCell::default(),
             command_copies: CommandCopies::new(seed),
             rented_machine_count: Cell::new(0),
+            is_out_of_capacity: Cell::new(false),
             failed_boot_zone: Cell::new(None),
             next: RefCell::default(),
             controllers: RefCell::new((0..shape.controllers).map(|_| None).collect()),
