--- a/src/scheduler/ownership.rs
+++ b/src/scheduler/ownership.rs
@@ -61,7 +61,7 @@
         if job.waiting_count() == 0 || state.is_excluded(id) {
             continue;
         }
-        state.update_backoff(id, job.failure_count, heartbeat_interval, now);
+        state.update_backoff(settings, id, job.failure_count, now);
         if let Some(reason) = state.failure_wait_reason(settings, id, job, now) {
             controller.placement.record_wait_reason(id, reason, now);
             continue;
--- a/src/scheduler/round/queue_pass.rs
+++ b/src/scheduler/round/queue_pass.rs
@@ -9,6 +9,7 @@
 use crate::scheduler::wait_states::WaitReason;
 use crate::scheduler::waiting_job::WaitingJob;
 use crate::state::records::{Job, JobSpec};
+use crate::wire::JobKind;
 
 /// Decision of a round on one job of the queue.
 enum JobDecision {
@@ -37,16 +38,21 @@
     )
 }
 
-/// Returns the placements that a job gets in this round. A job that is suspected faulty and
-/// has no booked tasks gets a single placement, to test whether its tasks still fail. A
-/// gang gets all its placements even if it is suspected faulty, as its tasks only run
-/// together. A suspected service gets all its placements once one replica is booked.
+/// Returns the placements that a job gets in this round. A job that is suspected faulty gets
+/// a single placement, to test whether its tasks still fail. A gang gets all its placements
+/// even if it is suspected faulty, as its tasks only run together. A suspected service gets
+/// all its placements once one replica is booked.
 fn limited_if_suspected_faulty(
     waiting: WaitingJob,
     mut tasks: Vec<TaskPlacement>,
 ) -> Vec<TaskPlacement> {
     let WaitingJob { job, spec, .. } = waiting;
-    if job.is_suspected_faulty() && !spec.is_gang() && job.booked_count() == 0 {
+    let is_single = match spec.kind {
+        JobKind::Array => true,
+        JobKind::Gang => false,
+        JobKind::Service => job.booked_count() == 0,
+    };
+    if job.is_suspected_faulty() && is_single {
         tasks.truncate(1);
     }
     tasks
--- a/src/scheduler/round_state.rs
+++ b/src/scheduler/round_state.rs
@@ -108,10 +108,17 @@
 
     /// Starts the retry back-off of a job whose error count has changed. A lower count
     /// means that the job has succeeded and failed again since the last round.
-    pub(super) fn update_backoff(&mut self, id: &str, errors: u32, base: Duration, now: Instant) {
+    pub(super) fn update_backoff(
+        &mut self,
+        settings: &Settings,
+        id: &str,
+        errors: u32,
+        now: Instant,
+    ) {
         let backoff = self.backoffs.get(id);
         if backoff.is_none_or(|backoff| backoff.errors != errors) {
-            let until = now + retry_delay(errors, base);
+            let delay = retry_delay(errors, settings.heartbeat_interval());
+            let until = now + delay.min(settings.exclusion_limit());
             self.backoffs
                 .insert(id.to_string(), RetryBackoff { errors, until });
         }
@@ -119,8 +126,8 @@
 
     /// Returns the wait reason of a job that must wait after a failure. Any job waits
     /// until its back-off is over. A job that is suspected faulty also waits until the
-    /// tasks that are being retried have ended; a suspected service waits only until they
-    /// have run for the duration of a worker lease.
+    /// tasks that are being retried have ended or have run for some time: a service's for the
+    /// duration of a worker lease, an array's for [`Settings::exclusion_limit`].
     pub(super) fn failure_wait_reason(
         &self,
         settings: &Settings,
@@ -143,9 +150,12 @@
             .spec
             .as_ref()
             .is_some_and(|s| s.kind == JobKind::Service);
-        let has_run_for_lease = is_service && self.unchanged_for(id, now) > settings.worker_lease();
-        (job.is_suspected_faulty() && job.booked_count() > 0 && !has_run_for_lease)
-            .then_some(reason)
+        let trial = match is_service {
+            true => settings.worker_lease(),
+            false => settings.exclusion_limit(),
+        };
+        let is_on_trial = job.booked_count() > 0 && self.unchanged_for(id, now) <= trial;
+        (job.is_suspected_faulty() && is_on_trial).then_some(reason)
     }
 
     /// Returns the maximum number of records in the next commit.
--- a/tests/service/waiting_jobs.rs
+++ b/tests/service/waiting_jobs.rs
@@ -154,3 +154,58 @@
         });
     }
 }
+
+/// Guards against a back-off that is longer than a job may wait beside a machine that fits: it
+/// grew with the failures to 32 heartbeat intervals.
+#[test]
+fn failed_job_is_retried_soon_after_its_machine_recovers() {
+    for (seed, timing) in (90..).zip(TIMINGS) {
+        run_in_simulated_time(|| async move {
+            let case = format!("{timing:?}");
+            let (simulation, names) = deployment_with(seed, timing, &["gpu"]).await;
+            let machine = simulation.workers.borrow()[&names[0]].0.clone();
+            machine.fails_all_tasks.set(true);
+            let id = simulation.submit(accelerator_job(1, "gang", 2.0)).await;
+            sleep(Duration::from_secs(240)).await;
+            let starts = simulation.task_start_count.get();
+            while simulation.task_start_count.get() == starts {
+                sleep(Duration::from_millis(100)).await;
+            }
+            machine.fails_all_tasks.set(false);
+            wait_for_start(&simulation, &id, MAX_WAIT, &case).await;
+            simulation.assert_no_violations();
+        });
+    }
+}
+
+/// Guards against an array that waits as long as its own tasks run: after failures on several
+/// machines, no further task was tried while any task was on a machine.
+#[test]
+fn failed_tasks_are_retried_while_others_run() {
+    for (seed, timing) in (92..).zip(TIMINGS) {
+        run_in_simulated_time(|| async move {
+            let case = format!("{timing:?}");
+            let types = ["big", "small", "small", "small"];
+            let (simulation, names) = deployment_with(seed, timing, &types).await;
+            let set_sick = |is_sick| {
+                for name in &names[1..] {
+                    let worker = simulation.workers.borrow()[name].0.clone();
+                    worker.fails_all_tasks.set(is_sick);
+                }
+            };
+            set_sick(true);
+            let mut array = job(1, "batch", 5, 600.0);
+            array["vcpus"] = json!(4.0);
+            let id = simulation.submit(array).await;
+            sleep(Duration::from_secs(60)).await;
+            assert_eq!(simulation.running_task_count(&id), 2, "{case}");
+            set_sick(false);
+            let recovered_at = Instant::now();
+            while simulation.running_task_count(&id) == 2 {
+                assert!(recovered_at.elapsed() < MAX_WAIT, "{case}");
+                sleep(Duration::from_millis(500)).await;
+            }
+            simulation.assert_no_violations();
+        });
+    }
+}
