--- a/src/scheduler/candidates.rs
+++ b/src/scheduler/candidates.rs
@@ -150,6 +150,7 @@
     /// has them.
     fn may_use_accelerator_machine(&self, slot: &PlanSlot, class: &ClassEligibility) -> bool {
         match (self.spec.kind, self.protection) {
+            (_, AcceleratorProtection::Lifted) => true,
             // Array tasks start and end often. They never take resources that accelerator
             // work needs, and they only use a machine on which accelerators are in use, so
             // that they do not keep a machine provisioned whose accelerators are idle.
--- a/src/scheduler/hints.rs
+++ b/src/scheduler/hints.rs
@@ -43,7 +43,10 @@
     /// Partial protection: work without accelerators may use resources that accelerator
     /// work cannot use.
     Mild,
-    /// No protection: work without accelerators may use accelerator machines, but prefers
-    /// other machines.
+    /// No protection from gangs and services: they may use accelerator machines, but prefer
+    /// other machines. Arrays are restricted as before.
     Lax,
+    /// No protection from any work. For jobs that have waited as long as the protection may
+    /// make them wait.
+    Lifted,
 }
--- a/src/scheduler/ownership.rs
+++ b/src/scheduler/ownership.rs
@@ -57,6 +57,7 @@
         };
         let job = &entry.value;
         controller.placement.observe_job(id, now);
+        controller.placement.observe_stall(id, job, now);
         state.observe(id, entry.version, now);
         if job.waiting_count() == 0 || state.is_excluded(id) {
             continue;
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -81,7 +81,12 @@
                 continue;
             };
             let Some(spec) = &job.spec else { continue };
-            let waiting = WaitingJob { id, job, spec };
+            let waiting = WaitingJob {
+                id,
+                job,
+                spec,
+                is_overdue: false,
+            };
             let Some(missing) = self.missing_placements(waiting) else {
                 continue;
             };
--- a/src/scheduler/round/queue_pass.rs
+++ b/src/scheduler/round/queue_pass.rs
@@ -100,6 +100,7 @@
             id,
             job,
             spec: &spec,
+            is_overdue: self.is_overdue(id),
         };
         let decision = match self.search.find_placements(&context, waiting) {
             Ok(tasks) => {
@@ -176,6 +177,13 @@
         is_starving(job, spec, &self.controller.settings, age)
     }
 
+    /// Returns whether a job has been stalled for longer than accelerators may be protected
+    /// from it.
+    fn is_overdue(&self, id: &str) -> bool {
+        let stalled_for = self.controller.placement.stalled_for(id, self.now);
+        stalled_for > self.controller.settings.exclusion_limit()
+    }
+
     /// Reserves a job's placements in the plan. Placements of own jobs are booked later in
     /// the round.
     fn reserve(&mut self, id: &'a str, spec: JobSpec, tasks: Vec<TaskPlacement>, is_own: bool) {
--- a/src/scheduler/round_search.rs
+++ b/src/scheduler/round_search.rs
@@ -16,7 +16,7 @@
 use super::wait_states::WaitReason;
 use super::waiting_job::WaitingJob;
 use crate::settings::Settings;
-use crate::state::records::{Capacity, Job, JobSpec};
+use crate::state::records::{Capacity, JobSpec};
 use crate::state::replica::Replica;
 use crate::wire::JobKind;
 
@@ -82,13 +82,15 @@
 ///
 /// Returns `None` for a job other than a gang whose tasks must be in one zone or spread
 /// over zones: where its waiting tasks fit depends on where its tasks already run.
-fn shape_hash(job: &Job, spec: &JobSpec) -> Option<u64> {
+fn shape_hash(waiting: WaitingJob) -> Option<u64> {
+    let WaitingJob { job, spec, .. } = waiting;
     if !spec.is_gang() && (spec.one_zone || spec.spread) {
         return None;
     }
     let mut hasher = DefaultHasher::new();
     (spec.kind, spec.need, spec.one_zone, spec.spot).hash(&mut hasher);
     (&spec.types, &spec.zone, job.retry.is_empty()).hash(&mut hasher);
+    waiting.is_overdue.hash(&mut hasher);
     Some(hasher.finish())
 }
 
@@ -125,7 +127,7 @@
         } else {
             1
         };
-        let shape = shape_hash(job, spec).filter(|_| job.failed_on.is_empty());
+        let shape = shape_hash(waiting).filter(|_| job.failed_on.is_empty());
         if let Some(failed) = shape.and_then(|shape| self.failed.get(&shape))
             && tasks >= failed.tasks
         {
@@ -143,7 +145,8 @@
 
     /// Finds placements for a job. A service or gang without accelerators that fits only if
     /// it takes resources from accelerator work waits instead, if it will fit elsewhere
-    /// once stopping tasks have ended or after a preemption.
+    /// once stopping tasks have ended or after a preemption. An array waits in any case. No job
+    /// waits for longer than [`Settings::exclusion_limit`] because of this protection.
     fn search(
         &mut self,
         context: &SearchContext,
@@ -152,7 +155,13 @@
         let WaitingJob { job, spec, .. } = waiting;
         let request = context.request(waiting, context.plan, AcceleratorProtection::Strict);
         let strict = request.find_placements();
-        if strict.is_ok() || spec.kind == JobKind::Array || spec.need.gpus.0 > 0 {
+        if strict.is_ok() || spec.need.gpus.0 > 0 {
+            return strict;
+        }
+        if waiting.is_overdue {
+            return find_without_protection(&request, waiting.id);
+        }
+        if spec.kind == JobKind::Array {
             return strict;
         }
         if spec.kind == JobKind::Service && !job.retry.is_empty() {
@@ -217,6 +226,21 @@
     }
 }
 
+/// Finds placements for a job from which accelerators are no longer protected, and logs that
+/// the job takes machines with accelerators.
+fn find_without_protection(
+    request: &PlacementRequest,
+    job: &str,
+) -> Result<Vec<TaskPlacement>, WaitReason> {
+    let unprotected = request.with_protection(AcceleratorProtection::Lifted);
+    let found = unprotected.find_placements();
+    if let Ok(placements) = &found {
+        let tasks = placements.len();
+        tracing::info!(job, tasks, "accelerators no longer protected from a job");
+    }
+    found
+}
+
 /// Returns a copy of the plan in which the resources of stopping tasks count as free.
 fn with_stopping_tasks(replica: &Replica, plan: &Plan) -> Plan {
     let mut expected_plan = plan.clone();
--- a/src/scheduler/waiting_job.rs
+++ b/src/scheduler/waiting_job.rs
@@ -10,6 +10,8 @@
     pub(super) job: &'a Job,
     /// Spec of the job. Every open job has one.
     pub(super) spec: &'a JobSpec,
+    /// True if the job has waited so long that accelerators are no longer protected from it.
+    pub(super) is_overdue: bool,
 }
 
 impl WaitingJob<'_> {
--- a/tests/service/waiting_jobs.rs
+++ b/tests/service/waiting_jobs.rs
@@ -209,3 +209,30 @@
         });
     }
 }
+
+/// Guards against jobs that wait beside an idle machine (review/6): an array was never placed on
+/// a machine whose accelerators are all free, however long it waited.
+#[test]
+fn accelerators_are_not_protected_from_a_job_forever() {
+    let mut seed = 100;
+    for timing in TIMINGS {
+        for kind in ["batch", "gang", "daemon"] {
+            seed += 1;
+            run_in_simulated_time(|| async move {
+                let case = format!("{kind}, {timing:?}");
+                let types = ["gpu", "gpu", "small"];
+                let (simulation, names) = deployment_with(seed, timing, &types).await;
+                let accelerated = simulation.submit(accelerator_job(1, "gang", 600.0)).await;
+                wait_for_start(&simulation, &accelerated, MAX_WAIT, &case).await;
+                let mut submission = job(2, kind, 1, 600.0);
+                submission["vcpus"] = json!(4.0);
+                let id = simulation.submit(submission).await;
+                wait_for_start(&simulation, &id, MAX_WAIT, &case).await;
+                assert_eq!(simulation.machine_of(&id), names[2], "{case}");
+                simulation.lose_machine(&names[2]);
+                wait_for_start(&simulation, &id, MAX_WAIT, &case).await;
+                simulation.assert_no_violations();
+            });
+        }
+    }
+}
