--- a/src/cloud/job_demand.rs
+++ b/src/cloud/job_demand.rs
@@ -1,6 +1,7 @@
 //! Determines the jobs for which capacity is planned and the capacity that they need.
 
 use std::collections::HashSet;
+use std::time::Duration;
 
 use super::offer_search::OfferConstraints;
 use crate::policy::{JobFacts, Policy};
@@ -108,9 +109,16 @@
 ///
 /// The exception is a job that runs nowhere and whose tasks fit on no machine in service.
 /// Machines are provisioned for this job until it has failed more than twice
-/// `FAULTY_JOB_THRESHOLD` times. Without the exception, three faulty machines in a row would
-/// stop a correct job permanently.
-pub(super) fn may_provision_despite_failures(replica: &Replica, job: &Job, spec: &JobSpec) -> bool {
+/// `FAULTY_JOB_THRESHOLD` times, and from then on only if it has been stalled for longer than
+/// `retry_interval`. Without the exception, some faulty machines in a row would stop a correct
+/// job permanently.
+pub(super) fn may_provision_despite_failures(
+    replica: &Replica,
+    job: &Job,
+    spec: &JobSpec,
+    stalled_for: Duration,
+    retry_interval: Duration,
+) -> bool {
     let can_hold = |class: &MachineClass| {
         let capacity = replica.class_type(class).map(MachineType::capacity);
         spec.allows(&class.kind, &class.zone, class.spot)
@@ -119,7 +127,7 @@
     let max_errors = FAULTY_JOB_THRESHOLD as u32 * 2;
     let mut machines = replica.placeable_machines();
     job.booked_count() == 0
-        && job.failure_count <= max_errors
+        && (job.failure_count <= max_errors || stalled_for > retry_interval)
         && !machines.any(|machine| can_hold(&replica.classes[machine.class as usize]))
 }
 
--- a/src/cloud/scale_out_planner.rs
+++ b/src/cloud/scale_out_planner.rs
@@ -16,10 +16,14 @@
 use crate::scheduler::{
     self, AcceleratorProtection, FirstSeenTimes, PlacementHints, Plan, WaitReason,
 };
-use crate::state::records::{Capacity, JobSpec, ProvisioningRequest};
+use crate::state::records::{Capacity, Job, JobSpec, ProvisioningRequest};
 use crate::state::replica::Replica;
 use crate::wire::JobKind;
 
+/// The interval at which a machine is provisioned for a job that has failed many times and fits
+/// on no machine in service, in multiples of `Settings::exclusion_limit`.
+const FAULTY_RETRY_EXCLUSIONS: u32 = 4;
+
 /// Returns the provisioning requests to record: capacity for the jobs, in queue
 /// order, whose tasks fit neither in the free nor in the incoming capacity, and
 /// headroom for the next gang that needs accelerators.
@@ -146,7 +150,7 @@
     fn demand_of(&self, id: &'a str) -> Option<JobDemand<'a>> {
         let job = self.replica.jobs.get(id).map(|entry| &entry.value)?;
         let spec = job.spec.as_ref()?;
-        if job.is_suspected_faulty() && !may_provision_despite_failures(self.replica, job, spec) {
+        if job.is_suspected_faulty() && !self.may_provision_despite_failures(id, job, spec) {
             return None;
         }
         let seen = self.first_seen.get(id);
@@ -169,6 +173,13 @@
         })
     }
 
+    /// Returns whether capacity may be provisioned for a job that is suspected to be faulty.
+    fn may_provision_despite_failures(&self, id: &str, job: &Job, spec: &JobSpec) -> bool {
+        let stalled_for = self.controller.placement.stalled_for(id, self.now);
+        let retry_interval = self.controller.settings.exclusion_limit() * FAULTY_RETRY_EXCLUSIONS;
+        may_provision_despite_failures(self.replica, job, spec, stalled_for, retry_interval)
+    }
+
     /// Places as many of the job's tasks as fit in the planned capacity.
     fn place_tasks(&mut self, demand: &mut JobDemand) {
         let settings = &self.controller.settings;
--- a/src/scheduler/placement_state.rs
+++ b/src/scheduler/placement_state.rs
@@ -104,7 +104,7 @@
     }
 
     /// Returns the time for which a job has been stalled, as seen by this controller.
-    pub(super) fn stalled_for(&self, job: &str, now: Instant) -> Duration {
+    pub fn stalled_for(&self, job: &str, now: Instant) -> Duration {
         let stalls = self.stalls.borrow();
         let since = stalls.get(job).map(|stall| stall.since);
         since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
--- a/tests/replica/history.rs
+++ b/tests/replica/history.rs
@@ -442,6 +442,8 @@
         lines.insert(format!("{name} {jobs:?} {booked:?} {zone_shard:?}"));
     }
     let slots = replica.placeable_machines().count();
-    lines.insert(format!("{slots} slots"));
+    lines.insert(format!("{slots} slots, stale {:?}", replica.stale_slots()));
+    let without_record: BTreeSet<&str> = replica.booked_machines_without_record().collect();
+    lines.insert(format!("booked without record {without_record:?}"));
     lines
 }
--- a/tests/replica/late_answers.rs
+++ b/tests/replica/late_answers.rs
@@ -18,7 +18,7 @@
         Some("node") => !replica.controllers.is_empty(),
         Some("fleet") => replica.fleet_leader.is_some(),
         Some("machine") => !replica.machines.is_empty(),
-        Some("zone") => replica.placeable_machines().count() > 0,
+        Some("zone") => replica.zone_shard_of("host-000001").is_some(),
         other => panic!("{other:?}"),
     }
 }
--- a/tests/service/waiting_jobs.rs
+++ b/tests/service/waiting_jobs.rs
@@ -210,6 +210,56 @@
     }
 }
 
+/// Guards against jobs that never run: no machine was rented any more for a job that had failed
+/// seven times on several machines, all of which have left.
+#[test]
+fn machine_is_rented_for_a_job_that_has_failed_often() {
+    for (seed, timing) in (94..).zip(TIMINGS) {
+        run_in_simulated_time(|| async move {
+            let case = format!("{timing:?}");
+            let (simulation, names) = deployment_with(seed, timing, &["gpu", "gpu", "gpu"]).await;
+            let workers = names
+                .iter()
+                .map(|name| simulation.workers.borrow()[name].0.clone());
+            workers.for_each(|worker| worker.fails_all_tasks.set(true));
+            let id = simulation.submit(accelerator_job(1, "gang", 2.0)).await;
+            let failures = async || {
+                let path = format!("/ops/job/{id}");
+                let (_, details) = simulation.send_request(0, "GET", &path, None).await;
+                details["failures"].as_u64().unwrap_or(0)
+            };
+            while failures().await < 7 {
+                sleep(Duration::from_secs(1)).await;
+            }
+            names.iter().for_each(|name| simulation.lose_machine(name));
+            simulation.is_out_of_capacity.set(false);
+            wait_for_start(&simulation, &id, MAX_WAIT * 3, &case).await;
+            simulation.assert_no_violations();
+        });
+    }
+}
+
+/// Checks that a faulty job, which fails on every machine, causes few machines to be rented.
+#[test]
+fn few_machines_are_rented_for_a_faulty_job() {
+    let shape = DeploymentOptions {
+        has_accelerators: true,
+        ..DeploymentOptions::default()
+    };
+    run_in_simulated_time(|| async move {
+        let simulation = Simulation::with_options(96, shape).await;
+        let mut faulty = accelerator_job(1, "gang", 2.0);
+        faulty["blueprint"] = json!("mistake");
+        simulation.submit(faulty).await;
+        sleep(Duration::from_secs(600)).await;
+        let rented = simulation.rented_machine_count.get();
+        sleep(Duration::from_secs(1800)).await;
+        let more = simulation.rented_machine_count.get() - rented;
+        assert!((1..=10).contains(&more), "{rented}, then {more}");
+        simulation.assert_no_violations();
+    });
+}
+
 /// Guards against jobs that wait beside an idle machine (review/6): an array was never placed on
 /// a machine whose accelerators are all free, however long it waited.
 #[test]
