Capacity is not reserved for a gang without an end; a soak for jobs that wait beside room

Callers would see: jobs are queued beside idle machines as long as a large gang waits, also a gang that is larger than all machines in service.

Change: nothing is reserved for a gang that would not fit on the machines in service if they were empty. A job that has been stalled for Settings::exclusion_limit is placed in the plan without the reservation.

--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -8,6 +8,7 @@
 use crate::settings::TeamQuota;
 use crate::state::records::{Amount, Capacity, Resources};
 use crate::state::replica::{PlaceableMachine, Replica};
+use crate::wire::MachineType;
 
 /// Machine and zone shard number of a machine that is not provisioned yet, and index of a
 /// machine that is not in the plan.
@@ -69,6 +70,17 @@
         plan
     }
 
+    /// Returns a copy of the plan in which all machines are empty, and no team uses anything.
+    pub fn emptied(&self, replica: &Replica) -> Plan {
+        let mut plan = self.clone();
+        plan.team_usage.clear();
+        for slot in &mut plan.plan_slots {
+            let machine_type = replica.class_type(&replica.classes[slot.class as usize]);
+            slot.free = machine_type.map_or(Capacity::default(), MachineType::capacity);
+        }
+        plan
+    }
+
     /// Returns the resources that a team uses.
     pub fn team_used(&self, team: &str) -> Resources {
         self.team_usage.get(team).copied().unwrap_or_default()
--- a/src/scheduler/round.rs
+++ b/src/scheduler/round.rs
@@ -128,6 +128,8 @@
     /// Names of the controllers that are alive.
     alive: &'a [String],
     plan: Plan,
+    /// The plan without the reservation for a starving gang; `None` while there is none.
+    unreserved_plan: Option<Plan>,
     transaction: Transaction<'a>,
     search: RoundSearch,
     /// Ids of the zone shards that the transaction writes already, or will write for the
@@ -156,6 +158,7 @@
             own_jobs: own_jobs.iter().map(String::as_str).collect(),
             alive,
             plan: starting_plan(controller, replica),
+            unreserved_plan: None,
             transaction: Transaction::new(replica, max_records)
                 .with_accounts(BookingAccounts::new(replica, &controller.settings)),
             search: RoundSearch::default(),
--- a/src/scheduler/round/queue_pass.rs
+++ b/src/scheduler/round/queue_pass.rs
@@ -1,6 +1,7 @@
 //! Pass of a round through the queue, in which each job either gets placements or waits.
 
 use super::{JobPlacement, Round};
+use crate::scheduler::capacity_reservation::reserve_capacity;
 use crate::scheduler::hints::PlacementHints;
 use crate::scheduler::ownership::preferred_placer;
 use crate::scheduler::plan::TaskPlacement;
@@ -90,17 +91,22 @@
             return None;
         }
         let spec = job.spec.clone()?;
+        let is_overdue = self.is_overdue(id);
         let context = SearchContext {
             controller: self.controller.name(),
             settings: &self.controller.settings,
             hints: &self.hints(id, &spec, is_own),
-            plan: &self.plan,
+            // An overdue job may use the capacity that is reserved for a starving gang.
+            plan: match &self.unreserved_plan {
+                Some(unreserved_plan) if is_overdue => unreserved_plan,
+                _ => &self.plan,
+            },
         };
         let waiting = WaitingJob {
             id,
             job,
             spec: &spec,
-            is_overdue: self.is_overdue(id),
+            is_overdue,
         };
         let decision = match self.search.find_placements(&context, waiting) {
             Ok(tasks) => {
@@ -177,8 +183,8 @@
         is_starving(job, spec, &self.controller.settings, age)
     }
 
-    /// Returns whether a job has been stalled for longer than accelerators may be protected
-    /// from it.
+    /// Returns whether a job has been stalled for so long that no capacity may be kept from it
+    /// any more.
     fn is_overdue(&self, id: &str) -> bool {
         let stalled_for = self.controller.placement.stalled_for(id, self.now);
         stalled_for > self.controller.settings.exclusion_limit()
@@ -187,8 +193,10 @@
     /// Reserves a job's placements in the plan. Placements of own jobs are booked later in
     /// the round.
     fn reserve(&mut self, id: &'a str, spec: JobSpec, tasks: Vec<TaskPlacement>, is_own: bool) {
-        for placement in &tasks {
-            self.plan.reserve(placement, &spec.team, spec.need);
+        for plan in self.unreserved_plan.iter_mut().chain([&mut self.plan]) {
+            for placement in &tasks {
+                plan.reserve(placement, &spec.team, spec.need);
+            }
         }
         if is_own {
             let zone_shards = tasks.iter().map(|placement| placement.shard.to_string());
@@ -197,17 +205,44 @@
         }
     }
 
-    /// Records why a job waits, reserves capacity for it if it is starving, and adds it to
-    /// the blocked jobs if running work may be preempted for it.
+    /// Records why a job waits, reserves capacity for it if it is a starving gang, and adds it
+    /// to the blocked jobs if running work may be preempted for it.
     fn record_wait(&mut self, id: &str, wait: &WaitDecision) {
         let placement = &self.controller.placement;
         placement.record_wait_reason(id, wait.reason, self.now);
-        if wait.starving {
-            self.search
-                .reserve_for_first_gang(self.replica, &mut self.plan, &wait.spec);
+        if wait.starving && wait.spec.is_gang() && self.unreserved_plan.is_none() {
+            self.reserve_for_gang(id, &wait.spec);
         }
         if wait.blocked {
             self.blocked.push(id.to_string());
         }
     }
+
+    /// Reserves capacity for a starving gang in the zone that has capacity for the most of its
+    /// tasks, so that jobs behind the gang in the queue do not use this capacity before they
+    /// are overdue. Reserves nothing for a gang that is too large for the machines in service:
+    /// it waits for further machines, and needs no capacity until these are up.
+    fn reserve_for_gang(&mut self, id: &str, spec: &JobSpec) {
+        // The reservation does not depend on which controller places the gang.
+        let hints = PlacementHints::new(self.replica, "");
+        let Some(job) = self.transaction.job(id) else {
+            return;
+        };
+        let waiting = WaitingJob {
+            id,
+            job,
+            spec,
+            is_overdue: true,
+        };
+        let context = SearchContext {
+            controller: self.controller.name(),
+            settings: &self.controller.settings,
+            hints: &hints,
+            plan: &self.plan,
+        };
+        if self.search.fits_empty_machines(&context, waiting) {
+            self.unreserved_plan = Some(self.plan.clone());
+            reserve_capacity(spec, &mut self.plan, &hints);
+        }
+    }
 }
--- a/src/scheduler/round_search.rs
+++ b/src/scheduler/round_search.rs
@@ -8,7 +8,6 @@
 use foldhash::HashMap;
 
 use super::bin_packing::PlacementRequest;
-use super::capacity_reservation::reserve_capacity;
 use super::hints::{AcceleratorProtection, PlacementHints};
 use super::plan::{Plan, TaskPlacement};
 use super::preemption_candidates::{RunningJob, RunningWorkload, running_jobs};
@@ -16,7 +15,7 @@
 use super::wait_states::WaitReason;
 use super::waiting_job::WaitingJob;
 use crate::settings::Settings;
-use crate::state::records::{Capacity, JobSpec};
+use crate::state::records::Capacity;
 use crate::state::replica::Replica;
 use crate::wire::JobKind;
 
@@ -44,8 +43,8 @@
     running: Option<Rc<Vec<RunningJob>>>,
     /// Number of preemption searches made so far.
     pub(super) preemption_searches: usize,
-    /// True if capacity has been reserved for a starving gang.
-    reserved: bool,
+    /// Plan in which all machines are empty; computed on first use.
+    emptied_plan: Option<Plan>,
 }
 
 /// Inputs of a search for a job's placements.
@@ -207,22 +206,18 @@
         found.is_some_and(|preemption| preemption.complete)
     }
 
-    /// Reserves resources for a starving gang in the zone that has capacity for the most of
-    /// its tasks, so that jobs behind the gang in the queue do not use these resources.
-    /// Does nothing for jobs other than gangs, or if the round has already made a
-    /// reservation.
-    pub(super) fn reserve_for_first_gang(
+    /// Returns whether a gang would fit on the machines in service if they were empty.
+    pub(super) fn fits_empty_machines(
         &mut self,
-        replica: &Replica,
-        plan: &mut Plan,
-        spec: &JobSpec,
-    ) {
-        if !spec.is_gang() || self.reserved {
-            return;
-        }
-        self.reserved = true;
-        // The reservation does not depend on which controller places the gang.
-        reserve_capacity(spec, plan, &PlacementHints::new(replica, ""));
+        context: &SearchContext,
+        waiting: WaitingJob,
+    ) -> bool {
+        let replica = context.hints.replica;
+        let emptied = self
+            .emptied_plan
+            .get_or_insert_with(|| context.plan.emptied(replica));
+        let request = context.request(waiting, emptied, AcceleratorProtection::Lifted);
+        request.count_placements() >= waiting.placements_wanted()
     }
 }
 
--- a/tests/service/main.rs
+++ b/tests/service/main.rs
@@ -12,4 +12,3 @@
 mod machines;
 mod partitions;
 mod state_service;
-mod waiting_jobs;
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -34,4 +34,4 @@
 #[allow(unused_imports)]
 pub use state_service::{StateFault, StateFaultOptions, StateLimits, StateService};
 #[allow(unused_imports)]
-pub use worker::Worker;
+pub use worker::{MachineWithTasks, Worker};
--- a/tests/stand_ins/worker.rs
+++ b/tests/stand_ins/worker.rs
@@ -26,6 +26,15 @@
     exit_reason: Option<ExitReason>,
 }
 
+/// A machine as seen from outside.
+#[derive(Debug, Clone)]
+pub struct MachineWithTasks {
+    pub machine_type: String,
+    pub zone: String,
+    /// IDs of the tasks that run on the machine.
+    pub tasks: Vec<String>,
+}
+
 /// Outcome of a direct call, with the worker's status after it.
 pub(super) enum CallOutcome {
     Executed(Value),
@@ -463,6 +472,18 @@
             .collect()
     }
 
+    /// Returns all machines whose workers run, with their tasks.
+    pub fn machines_with_tasks(&self) -> Vec<MachineWithTasks> {
+        let lease = self.shape.lease();
+        let workers = self.workers.borrow();
+        let machines = workers.values().map(|(worker, _)| MachineWithTasks {
+            machine_type: worker.machine_type.clone(),
+            zone: worker.zone.clone(),
+            tasks: worker.tasks_on_machine(lease),
+        });
+        machines.collect()
+    }
+
     /// Returns the number of the job's running tasks.
     pub fn running_task_count(&self, id: &str) -> usize {
         let lease = self.shape.lease();
--- a/tests/service/waiting_jobs.rs
+++ b/tests/waiting/jobs.rs
@@ -1,83 +1,14 @@
 //! Jobs that wait although a machine which fits them has room. The rule: once the troubles are
 //! over, no job waits so for 90 s.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
+use crate::setup::{MAX_WAIT, TIMINGS, accelerator_job, deployment_with, wait_for_start};
 use crate::stand_ins::{DeploymentOptions, Simulation, job, run_in_simulated_time};
 
-/// Maximum time for which a job may wait beside a machine that fits it and has room.
-const MAX_WAIT: Duration = Duration::from_secs(90);
-
-/// Starts a deployment whose cloud has no machines to rent, with one machine of each of these
-/// types in zone a. Idle machines are not returned during the test.
-async fn deployment_with(
-    seed: u64,
-    timing: Timing,
-    types: &[&str],
-) -> (Rc<Simulation>, Vec<String>) {
-    let shape = DeploymentOptions {
-        has_accelerators: true,
-        report_s: timing.report_s,
-        lease_s: timing.lease_s,
-        cancel_s: timing.lease_s + 20.0,
-        ready_s: 600.0,
-        boot_s: 1.0,
-        teams: vec![("t".into(), 64.0, 64.0), ("u".into(), 64.0, 64.0)],
-        ..DeploymentOptions::default()
-    };
-    let simulation = Simulation::with_options(seed, shape).await;
-    simulation.is_out_of_capacity.set(true);
-    let boot = |kind: &&str| simulation.boot_machine(&json!({"grade": kind, "yard": "a"}));
-    let names = types.iter().map(boot).collect();
-    sleep(Duration::from_secs_f64(1.0 + 2.0 * timing.report_s)).await;
-    (simulation, names)
-}
-
-/// The heartbeat interval and the worker lease of a deployment, in seconds.
-#[derive(Debug, Clone, Copy)]
-struct Timing {
-    report_s: f64,
-    lease_s: f64,
-}
-
-/// The timing of deployments in which workers report often, and in which they report rarely.
-const TIMINGS: [Timing; 2] = [
-    Timing {
-        report_s: 1.0,
-        lease_s: 10.0,
-    },
-    Timing {
-        report_s: 3.0,
-        lease_s: 24.0,
-    },
-];
-
-/// Returns a job with one task that needs both accelerators of a machine.
-fn accelerator_job(number: u32, kind: &str, run_s: f64) -> Value {
-    let mut submission = job(number, kind, 1, run_s);
-    submission["vcpus"] = json!(8.0);
-    submission["cards"] = json!(2.0);
-    submission
-}
-
-/// Waits until at least one task of the job runs or the job is done. Panics after the limit.
-async fn wait_for_start(simulation: &Simulation, id: &str, limit: Duration, case: &str) {
-    let started = Instant::now();
-    loop {
-        let stage = simulation.query_stage(0, id).await;
-        if simulation.running_task_count(id) > 0 || stage.as_deref() == Some("done") {
-            return;
-        }
-        let waited = started.elapsed();
-        assert!(waited < limit, "{case}: {id} is {stage:?} after {waited:?}");
-        sleep(Duration::from_millis(500)).await;
-    }
-}
-
 /// Guards against machines that stay idle for good (review/5): the only machine that fits was
 /// quarantined after failures, and nothing ended the quarantine.
 #[test]
@@ -286,3 +217,36 @@
         }
     }
 }
+
+/// Guards against jobs that wait beside capacity which is reserved for a gang: it was reserved as
+/// long as the gang waited, also if the gang could not start.
+#[test]
+fn capacity_is_not_reserved_for_a_gang_forever() {
+    let mut seed = 110;
+    for timing in TIMINGS {
+        // The gang is too large for the only machine, or a service never leaves it the second.
+        for types in [vec!["big"], vec!["big", "big"]] {
+            seed += 1;
+            run_in_simulated_time(|| async move {
+                let case = format!("{types:?}, {timing:?}");
+                let (simulation, _) = deployment_with(seed, timing, &types).await;
+                let sized = |mut submission: Value, cpus: f64| {
+                    submission["vcpus"] = json!(cpus);
+                    submission
+                };
+                if types.len() == 2 {
+                    let service = simulation
+                        .submit(sized(job(1, "daemon", 1, 0.0), 8.0))
+                        .await;
+                    wait_for_start(&simulation, &service, MAX_WAIT, &case).await;
+                }
+                simulation.submit(sized(job(2, "gang", 2, 5.0), 8.0)).await;
+                // A gang is starving after six leases.
+                sleep(Duration::from_secs_f64(timing.lease_s * 8.0)).await;
+                let array = simulation.submit(sized(job(3, "batch", 1, 5.0), 4.0)).await;
+                wait_for_start(&simulation, &array, MAX_WAIT, &case).await;
+                simulation.assert_no_violations();
+            });
+        }
+    }
+}
