--- a/src/cloud/consolidation.rs
+++ b/src/cloud/consolidation.rs
@@ -211,24 +211,27 @@
     record.machines.remove(id);
     let mut machine_shards = MachineShardEdits::new(replica);
     machine_shards.put(id, machine);
-    let (mut preconditions, mut writes) = machine_shards.into_commit();
-    preconditions.push(precondition(zone_shard_key(&shard_id), shard.version));
-    writes.push(replica.put_zone_shard(&shard_id, &record));
+    let mut commit = machine_shards.into_commit();
+    let zone_shard = precondition(zone_shard_key(&shard_id), shard.version);
+    commit.preconditions.push(zone_shard);
+    commit
+        .writes
+        .push(replica.put_zone_shard(&shard_id, &record));
     for job_id in &candidate.services {
         let mut job = replica.jobs[*job_id].value.clone();
         for run in job.runs.iter_mut().filter(|run| run.machine == *id) {
             run.stop = true;
         }
         job.has_preempted = true;
-        preconditions.push(precondition(job_key(job_id), replica.job_version(job_id)));
-        writes.push(replica.put_job(job_id, &job));
+        let version = replica.job_version(job_id);
+        commit
+            .preconditions
+            .push(precondition(job_key(job_id), version));
+        commit.writes.push(replica.put_job(job_id, &job));
     }
     Some(Eviction {
         machine: id.clone(),
         services: candidate.services.len(),
-        commit: Commit {
-            preconditions,
-            writes,
-        },
+        commit,
     })
 }
--- a/src/cloud/lifecycle.rs
+++ b/src/cloud/lifecycle.rs
@@ -152,20 +152,18 @@
 
     /// Returns the commit.
     fn into_commit(self) -> Commit {
-        let (mut preconditions, mut writes) = self.machine_shards.into_commit();
+        let mut commit = self.machine_shards.into_commit();
         for (id, zone_shard) in self.zone_shards {
-            preconditions.push(precondition(
+            commit.preconditions.push(precondition(
                 zone_shard_key(&id),
                 self.replica.zone_shard_version(&id),
             ));
             if zone_shard.changed {
-                writes.push(self.replica.put_zone_shard(&id, &zone_shard.record));
+                let write = self.replica.put_zone_shard(&id, &zone_shard.record);
+                commit.writes.push(write);
             }
         }
-        Commit {
-            preconditions,
-            writes,
-        }
+        commit
     }
 }
 
--- a/src/cloud/record_deletions.rs
+++ b/src/cloud/record_deletions.rs
@@ -97,21 +97,20 @@
     /// remain in the pool.
     fn into_commit(self, settings: &Settings) -> Commit {
         let replica = self.replica;
-        let (mut preconditions, mut writes) = self.machine_shards.into_commit();
+        let mut commit = self.machine_shards.into_commit();
         for (id, request) in self.requests {
             let key = provisioning_request_key(id);
             let version = replica.provisioning_requests[id].version;
-            preconditions.push(precondition(key.clone(), version));
-            writes.push(match request.machines.is_empty() {
+            commit
+                .preconditions
+                .push(precondition(key.clone(), version));
+            commit.writes.push(match request.machines.is_empty() {
                 true => Write::Delete { key },
                 false => put(key, &request),
             });
         }
-        if writes.is_empty() || replica.shares_since().is_none() {
-            return Commit {
-                preconditions,
-                writes,
-            };
+        if commit.writes.is_empty() || replica.shares_since().is_none() {
+            return commit;
         }
         // The pool's capacity must be reduced no later than in the commit that deletes the
         // machines' records. While shares hold more than the remaining capacity, the records
@@ -119,19 +118,16 @@
         let ledger = replica.ledger(settings);
         match release_machines(&ledger, self.released) {
             Ok(pool) => {
-                preconditions.push(precondition(POOL_KEY.to_string(), replica.pool_version()));
-                writes.extend(pool.map(|pool| put(POOL_KEY.to_string(), &pool)));
-                Commit {
-                    preconditions,
-                    writes,
-                }
+                let pool_key = POOL_KEY.to_string();
+                commit
+                    .preconditions
+                    .push(precondition(pool_key.clone(), replica.pool_version()));
+                commit.writes.extend(pool.map(|pool| put(pool_key, &pool)));
+                commit
             }
             Err(shortage) => {
                 tracing::debug!(%shortage, "records of gone machines not deleted");
-                Commit {
-                    preconditions: Vec::new(),
-                    writes: Vec::new(),
-                }
+                Commit::default()
             }
         }
     }
--- a/src/cloud/stale_slots.rs
+++ b/src/cloud/stale_slots.rs
@@ -39,10 +39,7 @@
 /// Returns the commit that removes these slots, for as many zone shards as fit. A zone shard's
 /// version is the only precondition: its owner lists a machine again that is back in service.
 fn plan_removals(replica: &Replica, stale: &[StaleSlot], max_writes: usize) -> Commit {
-    let mut commit = Commit {
-        preconditions: Vec::new(),
-        writes: Vec::new(),
-    };
+    let mut commit = Commit::default();
     let mut commit_bytes = 0;
     for (id, record) in edited_zone_shards(replica, stale) {
         if commit.writes.len() == max_writes || commit_bytes > COMMIT_BYTES / 2 {
--- a/src/cloud/unrecorded_machines.rs
+++ b/src/cloud/unrecorded_machines.rs
@@ -6,7 +6,7 @@
 use crate::state::budget::RequestClass;
 use crate::state::records::{Machine, MachineLifecycle};
 use crate::state::replica::Replica;
-use crate::wire::ListedMachine;
+use crate::wire::{Commit, ListedMachine};
 
 /// A machine that has no record yet, with the record to be written.
 #[derive(Debug, Clone)]
@@ -48,7 +48,10 @@
 pub(super) async fn record_machines(controller: &Controller, machines: &[UnrecordedMachine]) {
     let max_writes = controller.settings.max_writes_per_commit();
     let mut recorded = Vec::new();
-    let (preconditions, writes) = {
+    let Commit {
+        preconditions,
+        writes,
+    } = {
         let replica = controller.replica.borrow();
         let mut machine_shards = MachineShardEdits::new(&replica);
         for UnrecordedMachine { id, machine } in machines {
--- a/src/compaction/oversized.rs
+++ b/src/compaction/oversized.rs
@@ -6,7 +6,7 @@
 use crate::state::commit::precondition;
 use crate::state::keys::{PREFIX, job_key, machine_shard_key, zone_shard_key};
 use crate::state::replica::Replica;
-use crate::wire::{Commit, Write};
+use crate::wire::{Commit, Precondition, Write};
 
 /// The kind of an oversized record. Records with the same version are rewritten in the order
 /// of these variants.
@@ -116,12 +116,10 @@
             // encoding.
             let mut machine_shards = MachineShardEdits::new(replica);
             machine_shards.edit(id);
-            let (preconditions, writes) = machine_shards.into_commit();
-            debug_assert!(preconditions.iter().any(|p| p.key == machine_shard_key(id)));
-            Some(Commit {
-                preconditions,
-                writes,
-            })
+            let commit = machine_shards.into_commit();
+            let is_guarded = |p: &Precondition| p.key == machine_shard_key(id);
+            debug_assert!(commit.preconditions.iter().any(is_guarded));
+            Some(commit)
         }
     }
 }
--- a/src/scheduler/machine_shards.rs
+++ b/src/scheduler/machine_shards.rs
@@ -12,7 +12,7 @@
 use crate::state::keys::{machine_shard_key, shard_id};
 use crate::state::records::{Machine, MachineShard, machine_entry_bytes};
 use crate::state::replica::Replica;
-use crate::wire::{Precondition, Write};
+use crate::wire::Commit;
 
 /// Estimated size of a machine in a machine shard's record, in bytes.
 const MACHINE_BYTES: usize = 125;
@@ -255,9 +255,8 @@
             .len()
     }
 
-    /// Returns the preconditions and writes of the commit. The commit guards every machine
-    /// shard that it changes or depends on.
-    pub fn into_commit(mut self) -> (Vec<Precondition>, Vec<Write>) {
+    /// Returns the commit. It guards every machine shard that it changes or depends on.
+    pub fn into_commit(mut self) -> Commit {
         self.split_oversized();
         let all: BTreeSet<&String> = self.edited.keys().chain(&self.guarded).collect();
         let preconditions = all
@@ -275,7 +274,10 @@
             .iter()
             .map(|(id, machine_shard)| self.replica.put_machine_shard(id, machine_shard))
             .collect();
-        (preconditions, writes)
+        Commit {
+            preconditions,
+            writes,
+        }
     }
 }
 
--- a/src/scheduler/round.rs
+++ b/src/scheduler/round.rs
@@ -24,18 +24,16 @@
 use crate::controller::Controller;
 use crate::state::records::{Capacity, JobSpec};
 use crate::state::replica::Replica;
-use crate::wire::{Precondition, Write};
+use crate::wire::Commit;
 use crate::workers::AttemptKey;
 
-/// Commit of one round: the preconditions and writes to send, and the decisions that they
-/// record.
+/// Commit of one round, and the decisions that it records.
 pub(super) struct RoundCommit {
     /// Number of jobs that get bookings.
     pub(super) admitted_jobs: usize,
     /// Terminations that the transaction records.
     pub(super) terminations: Vec<AttemptKey>,
-    pub(super) preconditions: Vec<Precondition>,
-    pub(super) writes: Vec<Write>,
+    pub(super) commit: Commit,
 }
 
 /// Builds the transaction of one round: the pending terminations, and bookings for as many
@@ -216,12 +214,10 @@
         if self.transaction.is_empty() {
             return None;
         }
-        let (preconditions, writes) = self.transaction.into_commit();
         Some(RoundCommit {
             admitted_jobs: admitted,
             terminations,
-            preconditions,
-            writes,
+            commit: self.transaction.into_commit(),
         })
     }
 }
--- a/src/scheduler/rounds.rs
+++ b/src/scheduler/rounds.rs
@@ -73,7 +73,7 @@
             return;
         };
         gap = decision_started_at.elapsed().max(min_gap);
-        state.records_written = round_commit.writes.len();
+        state.records_written = round_commit.commit.writes.len();
         if commit(controller, state, round_commit).await == NextStep::Pause {
             return;
         }
@@ -96,20 +96,20 @@
     state: &mut RoundState,
     round_commit: RoundCommit,
 ) -> NextStep {
-    let terminations = round_commit.terminations;
+    let RoundCommit {
+        admitted_jobs,
+        terminations,
+        commit,
+    } = round_commit;
     match controller
-        .commit(
-            RequestClass::Round,
-            round_commit.preconditions,
-            round_commit.writes,
-        )
+        .commit(RequestClass::Round, commit.preconditions, commit.writes)
         .await
     {
         Ok(revision) => {
             state.small_commits = false;
             tracing::debug!(
                 revision,
-                jobs = round_commit.admitted_jobs,
+                jobs = admitted_jobs,
                 terminations = terminations.len(),
                 "round committed"
             );
--- a/src/scheduler/transaction.rs
+++ b/src/scheduler/transaction.rs
@@ -24,7 +24,7 @@
 use crate::state::keys::{job_key, machine_shard_key, team_key, zone_shard_key};
 use crate::state::records::{Job, Resources, TeamUsage, ZoneShard};
 use crate::state::replica::Replica;
-use crate::wire::{MachineType, Precondition, Write};
+use crate::wire::{Commit, MachineType};
 
 pub use booking::book;
 pub use release::ReleaseOutcome;
@@ -143,9 +143,8 @@
         })
     }
 
-    /// Returns the preconditions and writes of the commit. The commit guards every record
-    /// that the transaction writes or depends on.
-    pub fn into_commit(self) -> (Vec<Precondition>, Vec<Write>) {
+    /// Returns the commit. It guards every record that the transaction writes or depends on.
+    pub fn into_commit(self) -> Commit {
         let mut parts = CommitParts::new(self.replica);
         if let Some(accounts) = self.accounts {
             accounts.into_commit(&mut parts);
@@ -175,6 +174,9 @@
             let version = self.replica.machine_shard_version(id);
             preconditions.push(precondition(machine_shard_key(id), version));
         }
-        (preconditions, writes)
+        Commit {
+            preconditions,
+            writes,
+        }
     }
 }
--- a/src/workers/claim_plan.rs
+++ b/src/workers/claim_plan.rs
@@ -6,7 +6,7 @@
 use crate::state::keys::shard_id;
 use crate::state::records::{HeartbeatId, Machine, MachineLifecycle};
 use crate::state::replica::Replica;
-use crate::wire::{Precondition, WorkerStatus, Write};
+use crate::wire::{Commit, WorkerStatus};
 
 use super::claim_queue::Claim;
 use super::token_range::TokenRange;
@@ -25,12 +25,11 @@
     /// Machines whose claims are resolved, granted or not, once the commit has succeeded.
     pub resolved: Vec<String>,
     pub granted: Vec<GrantedClaim>,
-    pub preconditions: Vec<Precondition>,
-    pub writes: Vec<Write>,
+    pub commit: Commit,
 }
 
 /// Selects the queued claims that fit into one commit, urgent ones first, and returns them
-/// with the commit's preconditions and writes.
+/// with the commit.
 pub(super) fn plan_claims(controller: &Controller) -> ClaimBatch {
     let replica = controller.replica.borrow();
     let fleet = controller.fleet.borrow();
@@ -144,7 +143,7 @@
     }
 
     fn into_batch(mut self) -> ClaimBatch {
-        (self.batch.preconditions, self.batch.writes) = self.machine_shards.into_commit();
+        self.batch.commit = self.machine_shards.into_commit();
         self.batch
     }
 }
--- a/src/workers/claims.rs
+++ b/src/workers/claims.rs
@@ -16,7 +16,7 @@
 use crate::state::client::StateClientError;
 use crate::state::keys::{machine_shard_key, shard_id};
 use crate::state::records::HeartbeatId;
-use crate::wire::{Precondition, Write};
+use crate::wire::Commit;
 
 /// Runs the loop that commits the claims that heartbeats have requested, several in each
 /// commit.
@@ -78,8 +78,8 @@
 async fn commit_batch(controller: &Controller) -> Result<(), StateClientError> {
     drop_stale_claims(controller);
     let batch = plan_claims(controller);
-    if !batch.writes.is_empty() {
-        let revision = commit_claims(controller, batch.preconditions, batch.writes).await?;
+    if !batch.commit.writes.is_empty() {
+        let revision = commit_claims(controller, batch.commit).await?;
         renew_termination_evidence(controller, &batch.granted);
         let now = Instant::now();
         for claim in batch.granted {
@@ -115,11 +115,11 @@
     });
 }
 
-async fn commit_claims(
-    controller: &Controller,
-    preconditions: Vec<Precondition>,
-    writes: Vec<Write>,
-) -> Result<u64, StateClientError> {
+async fn commit_claims(controller: &Controller, commit: Commit) -> Result<u64, StateClientError> {
+    let Commit {
+        preconditions,
+        writes,
+    } = commit;
     let result = controller
         .commit(RequestClass::Claim, preconditions, writes)
         .await;
--- a/tests/decisions/scheduling.rs
+++ b/tests/decisions/scheduling.rs
@@ -450,7 +450,10 @@
             ..Machine::new("grande-occhio", "a")
         };
         machine_shards.put(&name, machine);
-        let (preconditions, writes) = machine_shards.into_commit();
+        let Commit {
+            preconditions,
+            writes,
+        } = machine_shards.into_commit();
         version += 1;
         for write in &writes {
             let Write::Put { key, value, .. } = write else {
@@ -508,12 +511,7 @@
             machine_shards.put(name, machine.clone());
             false
         });
-        let (preconditions, writes) = machine_shards.into_commit();
-        let body = serde_json::to_vec(&Commit {
-            preconditions,
-            writes,
-        })
-        .expect("commit");
+        let body = serde_json::to_vec(&machine_shards.into_commit()).expect("commit");
         assert!(body.len() <= 64 * 1024, "{} bytes", body.len());
         commits += 1;
     }
--- a/tests/decisions/shards.rs
+++ b/tests/decisions/shards.rs
@@ -12,7 +12,7 @@
 use shelfhoist::state::keys::{FORMATS_KEY, machine_shard_key};
 use shelfhoist::state::records::*;
 use shelfhoist::state::replica::Replica;
-use shelfhoist::wire::{Commit, Event, Precondition, Write};
+use shelfhoist::wire::{Commit, Event, Precondition};
 
 use super::setup::{active_machine, settings};
 
@@ -111,7 +111,7 @@
     }
 
     /// Returns the commit that records a new machine, based on the present replica.
-    fn commit_of_new_machine(&self, machine: &str) -> (Vec<Precondition>, Vec<Write>) {
+    fn commit_of_new_machine(&self, machine: &str) -> Commit {
         let mut shards = MachineShardEdits::new(&self.replica);
         let shard = shards
             .allocate_shard(&self.settings, machine, "grande-occhio", "a")
@@ -125,7 +125,11 @@
     }
 
     /// Applies a commit if its preconditions are met. Returns whether it was applied.
-    fn commit(&mut self, (preconditions, writes): (Vec<Precondition>, Vec<Write>)) -> bool {
+    fn commit(&mut self, commit: Commit) -> bool {
+        let Commit {
+            preconditions,
+            writes,
+        } = commit;
         let is_met = |precondition: &Precondition| {
             let id = precondition.key.trim_start_matches("sh/machine/");
             self.replica.machine_shard_version(id) == precondition.version
@@ -176,9 +180,9 @@
         let older_commit = owner.commit_of_new_machine(&machine);
         let max_preconditions = owner.settings.max_writes_per_commit() * 4;
         assert!(
-            older_commit.0.len() <= max_preconditions / 2,
+            older_commit.preconditions.len() <= max_preconditions / 2,
             "{} preconditions",
-            older_commit.0.len()
+            older_commit.preconditions.len()
         );
         change(&mut owner);
         let newer_commit = owner.commit_of_new_machine(&machine);
@@ -201,7 +205,7 @@
 fn all_shards_are_preconditions_until_older_commits_are_void() {
     let mut owner = OwnerShards::new(10);
     let machine = machine_of_owner(&owner);
-    let grouped_count = owner.commit_of_new_machine(&machine).0.len();
+    let grouped_count = owner.commit_of_new_machine(&machine).preconditions.len();
     for (formats, precondition_count) in [(FORMATS_COMPACT, 11), (FORMATS, 11)] {
         owner.version += 1;
         let formats_record = json!({"n": {}, "a": formats});
@@ -212,13 +216,16 @@
             version,
         )]);
         assert_eq!(
-            owner.commit_of_new_machine(&machine).0.len(),
+            owner.commit_of_new_machine(&machine).preconditions.len(),
             precondition_count,
             "{formats}"
         );
     }
     owner.put_shard(3, 70);
-    assert_eq!(owner.commit_of_new_machine(&machine).0.len(), grouped_count);
+    assert_eq!(
+        owner.commit_of_new_machine(&machine).preconditions.len(),
+        grouped_count
+    );
     assert!(grouped_count < 11, "{grouped_count}");
 }
 
--- a/tests/decisions/workers.rs
+++ b/tests/decisions/workers.rs
@@ -348,7 +348,7 @@
         let outcome_of_release = transaction.release(&key, evidence, "n0", *incarnation);
         assert_eq!(&outcome_of_release, expected, "{name}");
         // The machine's record is a precondition of the commit.
-        let preconditions = transaction.into_commit().0;
+        let preconditions = transaction.into_commit().preconditions;
         let depends_on_machine = preconditions
             .iter()
             .any(|precondition| precondition.key == machine_shard_key("a/n0.0"));
--- a/tests/limits/shards.rs
+++ b/tests/limits/shards.rs
@@ -26,7 +26,7 @@
     // The shard is not split while commits that an older version prepared may still arrive.
     let mut machine_shards = MachineShardEdits::new(&replica);
     machine_shards.edit("a/n0.0");
-    assert_eq!(machine_shards.into_commit().1.len(), 1);
+    assert_eq!(machine_shards.into_commit().writes.len(), 1);
     let shard = replica.zone_shards["a/n0.0"].value.clone();
     let write = replica.put_zone_shard("a/n0.0", &shard);
     replica.apply_commit(&[write], 101);
@@ -52,7 +52,10 @@
         replica.apply_commit(&writes, version);
         let mut machine_shards = MachineShardEdits::new(&replica);
         machine_shards.edit(&id);
-        let (preconditions, mut writes) = machine_shards.into_commit();
+        let Commit {
+            preconditions,
+            mut writes,
+        } = machine_shards.into_commit();
         assert_eq!(writes.len(), 2, "{id}");
         for write in &writes {
             assert!(
@@ -233,7 +236,7 @@
         let zone_shards: BTreeSet<&str> = places.iter().map(|p| &*p.shard).collect();
         let mut transaction = Transaction::new(&replica, settings.max_writes_per_commit());
         let booked = transaction.book("job-1", &spec, &places);
-        assert!(transaction.into_commit().1.len() <= settings.max_writes_per_commit());
+        assert!(transaction.into_commit().writes.len() <= settings.max_writes_per_commit());
         match kind {
             JobKind::Gang => assert_eq!((zone_shards.len(), booked), (2, 8)),
             // Replicas of a service can be booked separately. The commit books those that fit, and
