--- a/tests/waiting/setup.rs
+++ b/tests/waiting/setup.rs
@@ -11,27 +11,43 @@
 /// Maximum time for which a job may wait beside a machine that fits it and has room.
 pub const MAX_WAIT: Duration = Duration::from_secs(90);
 
+/// The machines and limits of a deployment.
+pub struct Fleet<'a> {
+    /// Type of each machine.
+    pub types: &'a [&'a str],
+    /// Zones of the machines, in turn.
+    pub zones: &'a [&'a str],
+    /// Number of CPUs that each team may use.
+    pub team_limit: f64,
+    /// Flag set if the settings announce lower limits of the state service, so that records are
+    /// written in the compact encodings.
+    pub is_compact: bool,
+}
+
 /// Starts a deployment whose cloud has no machines to rent, with one machine of each of these
-/// types. Idle machines are not returned during the test. The teams' limits are above anything
-/// that a test submits.
+/// types in zone a. The teams' limits are above anything that a test submits.
 pub async fn deployment_with(
     seed: u64,
     timing: Timing,
     types: &[&str],
 ) -> (Rc<Simulation>, Vec<String>) {
-    deployment_in_zones(seed, timing, types, &["a"], 64.0).await
+    let fleet = Fleet {
+        types,
+        zones: &["a"],
+        team_limit: 64.0,
+        is_compact: false,
+    };
+    deployment_of(seed, timing, &fleet).await
 }
 
-/// Starts such a deployment with machines in these zones in turn, in which each team may use
-/// this number of CPUs.
-pub async fn deployment_in_zones(
+/// Starts a deployment whose cloud has no machines to rent beside these. Idle machines are not
+/// returned during the test.
+pub async fn deployment_of(
     seed: u64,
     timing: Timing,
-    types: &[&str],
-    zones: &[&str],
-    team_limit: f64,
+    fleet: &Fleet<'_>,
 ) -> (Rc<Simulation>, Vec<String>) {
-    let shape = DeploymentOptions {
+    let mut shape = DeploymentOptions {
         has_accelerators: true,
         report_s: timing.report_s,
         lease_s: timing.lease_s,
@@ -39,17 +55,20 @@
         ready_s: 600.0,
         boot_s: 1.0,
         teams: ["t", "u"]
-            .map(|team| (team.into(), team_limit / 2.0, team_limit))
+            .map(|team| (team.into(), fleet.team_limit / 2.0, fleet.team_limit))
             .to_vec(),
         ..DeploymentOptions::default()
     };
+    if fleet.is_compact {
+        shape.state["next"] = json!({"value_kb": 2.0, "txn_ops": 4});
+    }
     let simulation = Simulation::with_options(seed, shape).await;
     simulation.is_out_of_capacity.set(true);
     let boot = |(zone, kind): (&str, &&str)| {
         simulation.boot_machine(&json!({"grade": kind, "yard": zone}))
     };
-    let zones = zones.iter().cycle().copied();
-    let names = zones.zip(types).map(boot).collect();
+    let zones = fleet.zones.iter().cycle().copied();
+    let names = zones.zip(fleet.types).map(boot).collect();
     sleep(Duration::from_secs_f64(1.0 + 2.0 * timing.report_s)).await;
     (simulation, names)
 }
--- a/tests/waiting/soak.rs
+++ b/tests/waiting/soak.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::room::has_room;
-use crate::setup::{MAX_WAIT, TIMINGS, deployment_in_zones};
+use crate::setup::{Fleet, MAX_WAIT, TIMINGS, deployment_of};
 use crate::stand_ins::{CONTROLLERS, Simulation, StateFault, Worker, job, run_in_simulated_time};
 
 /// Number of seeds in a run of the test suite.
@@ -86,8 +86,13 @@
         let types: Vec<&str> = (0..count)
             .map(|_| *["gpu", "big", "small"].choose(&mut rng).expect("a type"))
             .collect();
-        let (simulation, _) =
-            deployment_in_zones(seed, timing, &types, &["a", "b"], TEAM_LIMIT).await;
+        let fleet = Fleet {
+            types: &types,
+            zones: &["a", "b"],
+            team_limit: TEAM_LIMIT,
+            is_compact: rng.random_bool(0.3),
+        };
+        let (simulation, _) = deployment_of(seed, timing, &fleet).await;
         Soak {
             simulation,
             rng,
